--- a/crates/mh_edge/src/answer_body.rs
+++ b/crates/mh_edge/src/answer_body.rs
@@ -12,6 +12,32 @@
 use crate::backends::Picked;
 use crate::connections::Connection;
 
+/// Learns how the body of an answer ended; dropping it means that the caller left before the end.
+pub trait Ending: fmt::Debug + Send {
+    /// Every byte was passed on.
+    fn whole(self: Box<Self>);
+    /// The backend server broke off, or was silent for too long.
+    fn cut(self: Box<Self>, code: Code);
+}
+
+/// Gives the connection back and records the outcome in the pool.
+#[derive(Debug)]
+struct PickedEnding {
+    // Returned for reuse only after the whole answer was read.
+    connection: Connection,
+    picked: Picked,
+}
+
+impl Ending for PickedEnding {
+    fn whole(self: Box<Self>) {
+        self.connection.give_back();
+    }
+
+    fn cut(self: Box<Self>, _code: Code) {
+        self.picked.failed(Outcome::Failed);
+    }
+}
+
 /// Why a body ended early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyError(pub Code);
@@ -39,12 +65,12 @@
 
 #[derive(Debug)]
 struct Passed {
+    /// Bytes that were read before the answer was passed on.
+    start: Option<Bytes>,
     body: Incoming,
     idle: Duration,
     timer: Pin<Box<Sleep>>,
-    // Returned for reuse only after the whole answer was read.
-    connection: Option<Connection>,
-    picked: Option<Picked>,
+    ending: Option<Box<dyn Ending>>,
 }
 
 impl AnswerBody {
@@ -58,29 +84,34 @@
             connection.give_back();
             return Self::whole(Bytes::new());
         }
+        Self::streamed(Bytes::new(), body, idle, Box::new(PickedEnding { connection, picked }))
+    }
+
+    /// A body that is passed on as it arrives, after the bytes of `start`.
+    ///
+    /// It is cut when the backend server sends nothing for `idle`.
+    pub fn streamed(start: Bytes, body: Incoming, idle: Duration, ending: Box<dyn Ending>) -> Self {
         let timer = Box::pin(tokio::time::sleep(idle));
         Self(Inner::Passed(Box::new(Passed {
+            start: (!start.is_empty()).then_some(start),
             body,
             idle,
             timer,
-            connection: Some(connection),
-            picked: Some(picked),
+            ending: Some(ending),
         })))
     }
 }
 
 impl Passed {
     fn finish(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            connection.give_back();
+        if let Some(ending) = self.ending.take() {
+            ending.whole();
         }
-        self.picked = None;
     }
 
     fn cut(&mut self, code: Code) -> BodyError {
-        self.connection = None;
-        if let Some(picked) = self.picked.take() {
-            picked.failed(Outcome::Failed);
+        if let Some(ending) = self.ending.take() {
+            ending.cut(code);
         }
         emit!(Event::AnswerCut, code = code.number());
         BodyError(code)
@@ -99,6 +130,9 @@
             Inner::Whole(bytes) => return Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Inner::Passed(passed) => passed,
         };
+        if let Some(start) = passed.start.take() {
+            return Poll::Ready(Some(Ok(Frame::data(start))));
+        }
         match Pin::new(&mut passed.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 let next = Instant::now() + passed.idle;
@@ -123,14 +157,23 @@
     fn is_end_stream(&self) -> bool {
         match &self.0 {
             Inner::Whole(bytes) => bytes.is_none(),
-            Inner::Passed(passed) => passed.body.is_end_stream(),
+            Inner::Passed(passed) => passed.start.is_none() && passed.body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.0 {
             Inner::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Inner::Passed(passed) => passed.body.size_hint(),
+            Inner::Passed(passed) => {
+                let start = passed.start.as_ref().map_or(0, Bytes::len) as u64;
+                let rest = passed.body.size_hint();
+                let mut hint = SizeHint::new();
+                hint.set_lower(rest.lower() + start);
+                if let Some(upper) = rest.upper() {
+                    hint.set_upper(upper + start);
+                }
+                hint
+            }
         }
     }
 }
--- a/crates/mh_edge/src/edge.rs
+++ b/crates/mh_edge/src/edge.rs
@@ -140,7 +140,7 @@
                     run = refusal.run,
                     request = id.as_str()
                 );
-                refusal.into_response(&id)
+                refusal.into_response(id.as_str())
             }
         };
         answer.headers_mut().insert(REQUEST_ID_HEADER, id.to_header());
--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -17,7 +17,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::backends::{Need, Picked};
-use crate::connections::Connection;
+use crate::connections::{ANY_AGE, Connection};
 use crate::deadline::Deadline;
 use crate::headers::{DEADLINE_HEADER, REQUEST_ID_HEADER, bearer, strip_hop_by_hop, strip_private};
 use crate::operations::{Runner, whole_answer};
@@ -232,7 +232,7 @@
 
     /// Sends on an idle or a new connection.
     async fn send(&self, picked: Picked, parts: &Parts, upload: Upload) -> Result<Response<AnswerBody>, Failure> {
-        match picked.connections().take(self.connect_limit()).await {
+        match picked.connections().take(self.connect_limit(), ANY_AGE).await {
             Ok(connection) => self.exchange(picked, connection, parts, upload).await,
             Err(code) => Err(self.failed(picked, Outcome::Failed, Failure { code, run: Run::NotRun })),
         }
--- a/crates/mh_edge/src/headers.rs
+++ b/crates/mh_edge/src/headers.rs
@@ -42,7 +42,7 @@
 }
 
 /// Removes the headers that belong to one connection.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: SmallVec<[HeaderName; 4]> = headers
         .get_all(CONNECTION)
         .iter()
@@ -72,7 +72,7 @@
 }
 
 /// Bytes of all names and values.
-pub(crate) fn total_bytes(headers: &HeaderMap) -> usize {
+pub fn total_bytes(headers: &HeaderMap) -> usize {
     headers
         .iter()
         .map(|(name, value)| name.as_str().len() + value.len())
--- a/crates/mh_edge/src/refusal.rs
+++ b/crates/mh_edge/src/refusal.rs
@@ -7,7 +7,6 @@
 use serde::Serialize;
 
 use crate::answer_body::AnswerBody;
-use crate::request_id::RequestId;
 
 /// Wait that a caller is asked for when nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -51,14 +50,15 @@
         }
     }
 
-    pub(crate) fn into_response(self, id: &RequestId) -> Response<AnswerBody> {
+    /// The answer to the request `id`.
+    pub fn into_response(self, id: &str) -> Response<AnswerBody> {
         let problem = Problem {
             kind: format!("urn:mangohook:code:{}", self.code.number()),
             title: self.code.title(),
             status: self.code.status(),
             code: self.code.number(),
             run: self.run.as_str(),
-            request_id: id.as_str(),
+            request_id: id,
             use_instead: &self.instead,
         };
         let body = Bytes::from(serde_json::to_vec(&problem).unwrap_or_default());
--- a/crates/mh_edge/src/serve.rs
+++ b/crates/mh_edge/src/serve.rs
@@ -1,20 +1,23 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use mh_types::{Event, emit};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio_io_timeout::TimeoutStream;
 
-use crate::Edge;
 use crate::opening::Opening;
+use crate::{AnswerBody, Edge, EdgeCfg};
 
 /// Wait before accepting again after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
@@ -45,35 +48,83 @@
     }
 }
 
+/// Limits of a port for callers.
+#[derive(Clone, Copy, Debug)]
+pub struct PortLimits {
+    /// Connections open at the same time.
+    pub max_connections: usize,
+    /// Longest wait for a request's headers, also on an idle connection.
+    pub header_timeout: Duration,
+    /// Longest wait until a caller takes more of an answer.
+    pub write_timeout: Duration,
+    /// Most headers in a request.
+    pub max_headers: usize,
+}
+
+impl From<&EdgeCfg> for PortLimits {
+    fn from(cfg: &EdgeCfg) -> Self {
+        Self {
+            max_connections: cfg.max_connections,
+            header_timeout: cfg.header_timeout,
+            write_timeout: cfg.write_timeout,
+            max_headers: cfg.max_headers,
+        }
+    }
+}
+
+impl Default for PortLimits {
+    fn default() -> Self {
+        Self::from(&EdgeCfg::default())
+    }
+}
+
 /// Serves `edge` on `listener`, HTTP/1.1 and HTTP/2.
 ///
 /// # Errors
 ///
 /// The error of reading the listener's address.
 pub fn serve(listener: TcpListener, edge: Arc<Edge>) -> std::io::Result<Server> {
+    let limits = PortLimits::from(edge.cfg());
+    serve_with(
+        listener,
+        move || limits,
+        move |req| {
+            let edge = Arc::clone(&edge);
+            async move { edge.handle(req).await }
+        },
+    )
+}
+
+/// Serves `handle` on `listener`, HTTP/1.1 and HTTP/2; `limits` is asked for each connection.
+///
+/// # Errors
+///
+/// The error of reading the listener's address.
+pub fn serve_with<L, H, F>(listener: TcpListener, limits: L, handle: H) -> std::io::Result<Server>
+where
+    L: Fn() -> PortLimits + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
     let addr = listener.local_addr()?;
     let (stop, stopped) = oneshot::channel();
-    let task = tokio::spawn(accept(listener, edge, stopped));
+    let task = tokio::spawn(accept(listener, limits, handle, stopped));
     Ok(Server { addr, stop, task })
 }
 
-async fn accept(listener: TcpListener, edge: Arc<Edge>, mut stopped: oneshot::Receiver<()>) -> GracefulShutdown {
+async fn accept<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    handle: H,
+    mut stopped: oneshot::Receiver<()>,
+) -> GracefulShutdown
+where
+    L: Fn() -> PortLimits + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
     let graceful = GracefulShutdown::new();
-    let limit = Arc::new(Semaphore::new(edge.cfg().max_connections));
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(edge.cfg().header_timeout)
-        .max_buf_size(PARSER_BUF_BYTES)
-        .max_headers(edge.cfg().max_headers * 2);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(MAX_STREAMS)
-        .max_header_list_size(PARSER_BUF_BYTES as u32)
-        .keep_alive_interval(edge.cfg().header_timeout)
-        .keep_alive_timeout(edge.cfg().header_timeout);
+    let open = Arc::new(AtomicUsize::new(0));
     loop {
         let accepted = tokio::select! {
             biased;
@@ -84,33 +135,68 @@
             tokio::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
+        let limits = limits();
         // Over the limit the connection is closed at once, so that the caller uses another VM.
-        let Ok(permit) = Arc::clone(&limit).try_acquire_owned() else {
+        let place = Place::take(&open);
+        if open.load(Ordering::Relaxed) > limits.max_connections {
             continue;
-        };
-        let connection = graceful.watch(connection(&builder, stream, &edge));
+        }
+        let connection = graceful.watch(connection(&limits, stream, handle.clone()));
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 emit!(Event::ConnectionFailed, error = e);
             }
-            drop(permit);
+            drop(place);
         });
     }
 }
 
-fn connection(
-    builder: &Builder<TokioExecutor>,
+/// Counts an open connection until dropped.
+struct Place(Arc<AtomicUsize>);
+
+impl Place {
+    fn take(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn connection<H, F>(
+    limits: &PortLimits,
     stream: TcpStream,
-    edge: &Arc<Edge>,
-) -> impl hyper_util::server::graceful::GracefulConnection<Error = Box<dyn std::error::Error + Send + Sync>> + use<> {
+    handle: H,
+) -> impl hyper_util::server::graceful::GracefulConnection<Error = Box<dyn std::error::Error + Send + Sync>> + use<H, F>
+where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(PARSER_BUF_BYTES)
+        .max_headers(limits.max_headers * 2);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(PARSER_BUF_BYTES as u32)
+        .keep_alive_interval(limits.header_timeout)
+        .keep_alive_timeout(limits.header_timeout);
     let _ = stream.set_nodelay(true);
     let mut stream = TimeoutStream::new(stream);
-    stream.set_write_timeout(Some(edge.cfg().write_timeout));
-    let stream = Opening::new(Box::pin(stream), edge.cfg().header_timeout);
-    let edge = Arc::clone(edge);
+    stream.set_write_timeout(Some(limits.write_timeout));
+    let stream = Opening::new(Box::pin(stream), limits.header_timeout);
     let service = service_fn(move |req| {
-        let edge = Arc::clone(&edge);
-        async move { Ok::<_, Infallible>(edge.handle(req).await) }
+        let answer = handle(req);
+        async move { Ok::<_, Infallible>(answer.await) }
     });
     builder.serve_connection(TokioIo::new(stream), service).into_owned()
 }
--- a/crates/mh_edge/src/upload.rs
+++ b/crates/mh_edge/src/upload.rs
@@ -15,15 +15,16 @@
 
 /// A request body on its way to a backend server.
 #[derive(Debug)]
-pub(crate) enum Upload {
+pub enum Upload {
     /// In memory; it can be sent again.
     Held(Option<Bytes>),
     /// Passed on as it arrives, bounded in bytes and time.
     Passed(Box<Passed>),
 }
 
+/// A body that is passed on.
 #[derive(Debug)]
-pub(crate) struct Passed {
+pub struct Passed {
     body: Incoming,
     left: u64,
     idle: Duration,
@@ -33,10 +34,11 @@
 
 /// Why passing on a body failed, readable after the send failed.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct UploadFault(Arc<AtomicU16>);
+pub struct UploadFault(Arc<AtomicU16>);
 
 impl UploadFault {
-    pub(crate) fn code(&self) -> Option<Code> {
+    /// The fault, if there was one.
+    pub fn code(&self) -> Option<Code> {
         Code::from_number(self.0.load(Ordering::Acquire))
     }
 
@@ -47,12 +49,13 @@
 }
 
 impl Upload {
-    pub(crate) fn held(bytes: Bytes) -> Self {
+    /// A body in memory.
+    pub fn held(bytes: Bytes) -> Self {
         Self::Held((!bytes.is_empty()).then_some(bytes))
     }
 
     /// The fault of a body that is passed on.
-    pub(crate) fn fault(&self) -> Option<UploadFault> {
+    pub fn fault(&self) -> Option<UploadFault> {
         match self {
             Self::Held(_) => None,
             Self::Passed(passed) => Some(passed.fault.clone()),
@@ -60,14 +63,15 @@
     }
 
     /// The same body once more, when it is in memory.
-    pub(crate) fn again(&self) -> Option<Self> {
+    pub fn again(&self) -> Option<Self> {
         match self {
             Self::Held(bytes) => Some(Self::Held(bytes.clone())),
             Self::Passed(_) => None,
         }
     }
 
-    pub(crate) fn passed(body: Incoming, max_bytes: u64, idle: Duration, fault: UploadFault) -> Self {
+    /// A body that is passed on, at most `max_bytes` long and with at most `idle` between two pieces.
+    pub fn passed(body: Incoming, max_bytes: u64, idle: Duration, fault: UploadFault) -> Self {
         let timer = Box::pin(tokio::time::sleep(idle));
         Self::Passed(Box::new(Passed {
             body,
@@ -79,8 +83,12 @@
     }
 }
 
-/// Reads a whole body of at most `max_bytes`.
-pub(crate) async fn hold(mut body: Incoming, max_bytes: u64, idle: Duration) -> Result<Bytes, Refusal> {
+/// Reads a whole body of at most `max_bytes`, with at most `idle` between two pieces.
+///
+/// # Errors
+///
+/// [`Code::BodyTooLarge`] or [`Code::RequestIncomplete`]; the request has not run.
+pub async fn hold(mut body: Incoming, max_bytes: u64, idle: Duration) -> Result<Bytes, Refusal> {
     let mut out = BytesMut::new();
     loop {
         let frame = match tokio::time::timeout(idle, body.frame()).await {
--- /dev/null
+++ b/crates/mh_gateway/src/control.rs
@@ -0,0 +1,13 @@
+mod announce_loop;
+mod feed_loop;
+mod known_server;
+mod member_loop;
+mod shift_desk;
+mod shift_write;
+mod world;
+
+pub use world::World;
+
+pub(crate) use announce_loop::{announce, withdraw};
+pub(crate) use feed_loop::follow;
+pub(crate) use member_loop::run_members;
--- /dev/null
+++ b/crates/mh_gateway/src/control/shift_desk.rs
@@ -0,0 +1,149 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mh_shift::{Canary, CanaryLimits, Verdict};
+use mh_types::ServiceName;
+
+use crate::{ActiveShift, ShiftOrder, ShiftPhase, ShiftRecord};
+
+/// VMs that expose the new version of a service. Three outlive the loss of one and still see enough answers each.
+pub(super) const CANARY_VMS: usize = 3;
+
+/// Part of the allowed exposure that the canaries use together; the rest covers uneven traffic and a late switch.
+const EXPOSURE_PART: f64 = 0.4;
+
+/// Time before the deadline at which every request goes to a good new version, so that the requests at the old one end.
+const SWITCH_LEAD: Duration = Duration::from_millis(1700);
+
+/// Time before the deadline at which the end is recorded, so that a write that is slow still comes in time.
+const DONE_LEAD: Duration = Duration::from_millis(700);
+
+/// Time by which each VM lets the one before it write first.
+const RANK_DELAY: Duration = Duration::from_millis(300);
+
+/// Canaries of the shifts that this VM takes part in.
+#[derive(Debug, Default)]
+pub(crate) struct ShiftDesk {
+    canaries: HashMap<ServiceName, (u64, Arc<Canary>)>,
+}
+
+impl ShiftDesk {
+    /// The shifts as requests see them.
+    pub(super) fn active(
+        &self,
+        orders: &HashMap<ServiceName, ShiftOrder>,
+        records: &HashMap<ServiceName, ShiftRecord>,
+    ) -> HashMap<ServiceName, ActiveShift> {
+        let mut out = HashMap::new();
+        for (service, record) in records {
+            let active = ActiveShift {
+                to: record.to.clone(),
+                phase: record.phase,
+                canary: None,
+            };
+            out.insert(service.clone(), active);
+        }
+        for (service, order) in orders {
+            let record = records.get(service).filter(|record| record.order == order.version);
+            let phase = record.map_or(ShiftPhase::Exposing, |record| record.phase);
+            let canary = self
+                .canaries
+                .get(service)
+                .filter(|(version, _)| *version == order.version);
+            let active = ActiveShift {
+                to: order.to.clone(),
+                phase,
+                // Without a record nobody counts down to the deadline, so nothing is exposed yet.
+                canary: canary
+                    .filter(|_| record.is_some())
+                    .map(|(_, canary)| Arc::clone(canary)),
+            };
+            out.insert(service.clone(), active);
+        }
+        out
+    }
+
+    /// Sets whether this VM is a canary of a shift; returns whether that changed.
+    pub(super) fn set_canary(
+        &mut self,
+        service: &ServiceName,
+        order: &ShiftOrder,
+        is_canary: bool,
+        share: f64,
+        vms: u32,
+    ) -> bool {
+        let held = self
+            .canaries
+            .get(service)
+            .is_some_and(|(version, _)| *version == order.version);
+        if held == is_canary {
+            return false;
+        }
+        if is_canary {
+            let canaries = CANARY_VMS.min(vms.max(1) as usize) as f64;
+            let limits = CanaryLimits {
+                share: (share * EXPOSURE_PART * f64::from(vms.max(1)) / canaries).min(1.0),
+                ..CanaryLimits::default()
+            };
+            let canary = Arc::new(Canary::new(limits));
+            self.canaries.insert(service.clone(), (order.version, canary));
+        } else {
+            self.canaries.remove(service);
+        }
+        true
+    }
+
+    /// The next record of a shift; `None` while nothing is to be written. `rank` is this VM's place among the canaries.
+    pub(super) fn next_record(
+        &self,
+        service: &ServiceName,
+        order: &ShiftOrder,
+        record: Option<&ShiftRecord>,
+        rank: usize,
+        clock: Duration,
+    ) -> Option<ShiftRecord> {
+        let held = record.filter(|record| record.order == order.version);
+        let version = record.map_or(0, |record| record.version);
+        let Some(held) = held else {
+            return Some(ShiftRecord {
+                to: order.to.clone(),
+                order: order.version,
+                started: clock,
+                phase: ShiftPhase::Exposing,
+                version,
+            });
+        };
+        let (_, canary) = self.canaries.get(service)?;
+        let phase = next_phase(held, order, canary.verdict(), RANK_DELAY * rank as u32, clock)?;
+        Some(ShiftRecord { phase, ..held.clone() })
+    }
+}
+
+fn next_phase(
+    held: &ShiftRecord,
+    order: &ShiftOrder,
+    verdict: Verdict,
+    delay: Duration,
+    clock: Duration,
+) -> Option<ShiftPhase> {
+    if held.phase.is_terminal() {
+        return None;
+    }
+    if verdict.is_fault() {
+        return Some(ShiftPhase::TakenBack);
+    }
+    let deadline = held.started + order.duration;
+    // A short shift still spends most of its time on exposure.
+    let lead = |lead: Duration| deadline.saturating_sub(lead.min(order.duration / 4)) + delay.min(DONE_LEAD / 2);
+    match held.phase {
+        ShiftPhase::Exposing if clock >= lead(SWITCH_LEAD) => match verdict {
+            Verdict::Good => Some(ShiftPhase::Switching),
+            // A version that nothing is known of by the deadline is not worth the risk.
+            _ if clock >= lead(DONE_LEAD) => Some(ShiftPhase::TakenBack),
+            _ => None,
+        },
+        ShiftPhase::Switching if clock >= lead(DONE_LEAD) => Some(ShiftPhase::Done),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/mh_gateway/src/node.rs
@@ -0,0 +1,9 @@
+mod gateway_node;
+mod metrics;
+mod ports;
+mod shutdown;
+
+pub use gateway_node::GatewayNode;
+pub use shutdown::{Stopped, run_until_signal};
+
+pub(crate) use gateway_node::lock;
--- /dev/null
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -0,0 +1,285 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+use mh_admin::Metrics;
+use mh_edge::Server;
+use mh_member::{Config, List, Members, Outbox};
+use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VmName, emit};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::ports;
+use crate::control::{World, announce, follow, run_members};
+use crate::{
+    AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, ShiftRecord, Source, Update,
+};
+
+/// Time between two tries to write one shift's record.
+const SHIFT_WRITE_GAP: Duration = Duration::from_millis(500);
+
+/// Part of the listed VMs that must be alive for the dead ones to stop counting. With fewer this VM is rather cut off
+/// itself, and the others go on using their shares.
+const QUORUM_PART: f64 = 0.5;
+
+/// One gateway VM's process.
+#[derive(Debug)]
+pub struct GatewayNode {
+    pub(crate) cfg: GatewaySettings,
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) interface: Arc<dyn Interface>,
+    pub(crate) source: Arc<dyn Source>,
+    pub(crate) world: Mutex<World>,
+    pub(crate) members: Mutex<Members>,
+    socket: UdpSocket,
+    metrics: OnceLock<Metrics>,
+    list: Mutex<List>,
+    shift_writes: Mutex<HashMap<ServiceName, Instant>>,
+    sharing: AtomicU32,
+    next_change: Mutex<Option<Instant>>,
+    epoch: watch::Sender<u64>,
+    rebuilds: AtomicU64,
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // The guarded values are replaced in single steps, so a panic of another thread leaves them whole.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl GatewayNode {
+    /// Binds the ports and starts the control loops.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BindFailed`] with the address, when a port cannot be bound.
+    pub async fn start(
+        cfg: GatewaySettings,
+        headers: HeaderNames,
+        interface: Arc<dyn Interface>,
+        source: Arc<dyn Source>,
+    ) -> Result<(Arc<Self>, Server), (Code, String)> {
+        let bind_failed = |addr: SocketAddr| move |e: std::io::Error| (Code::BindFailed, format!("{addr}: {e}"));
+        let listen = cfg.listen.clone();
+        let bounds = cfg.promises.bounds();
+        let regions = cfg.regions.clone();
+        let callers = TcpListener::bind(listen.callers)
+            .await
+            .map_err(bind_failed(listen.callers))?;
+        let health = TcpListener::bind(listen.health)
+            .await
+            .map_err(bind_failed(listen.health))?;
+        let lookups = TcpListener::bind(listen.lookups)
+            .await
+            .map_err(bind_failed(listen.lookups))?;
+        let peers = UdpSocket::bind(listen.peers).await.map_err(bind_failed(listen.peers))?;
+        let node = Arc::new(Self {
+            gateway: Arc::new(Gateway::new(cfg.vm.clone(), headers, bounds)),
+            interface,
+            source,
+            world: Mutex::new(World::new(regions, bounds)),
+            members: Mutex::new(members(&cfg, &bounds)),
+            socket: peers,
+            metrics: OnceLock::new(),
+            list: Mutex::default(),
+            shift_writes: Mutex::default(),
+            sharing: AtomicU32::new(1),
+            next_change: Mutex::default(),
+            epoch: watch::Sender::new(0),
+            rebuilds: AtomicU64::new(0),
+            cfg,
+        });
+        let metrics = super::metrics::metrics(&node).map_err(|e| (Code::Internal, e.to_string()))?;
+        let _ = node.metrics.set(metrics);
+        emit!(
+            Event::Started,
+            vm = node.cfg.vm,
+            domain = node.cfg.domain,
+            region = node.cfg.region
+        );
+        for feed in Feed::ALL {
+            tokio::spawn(follow(Arc::clone(&node), feed));
+        }
+        tokio::spawn(run_members(Arc::clone(&node)));
+        tokio::spawn(announce(Arc::clone(&node)));
+        ports::serve_health(health, Arc::clone(&node));
+        ports::serve_lookups(lookups, Arc::clone(&node));
+        let server = ports::serve_callers(callers, &node).map_err(bind_failed(listen.callers))?;
+        emit!(
+            Event::Listening,
+            callers = listen.callers,
+            lookups = listen.lookups,
+            health = listen.health
+        );
+        Ok((node, server))
+    }
+
+    /// Takes new promises and regions from the settings file.
+    pub fn reload(&self, cfg: &GatewaySettings) {
+        let bounds = cfg.promises.bounds();
+        emit!(Event::SettingsFileReloaded, vm = self.cfg.vm);
+        self.gateway.set_bounds(bounds);
+        lock(&self.world).reload(bounds, cfg.regions.clone());
+        self.rebuild(Instant::now());
+    }
+
+    /// The metrics as text.
+    pub(crate) fn metrics_text(&self) -> String {
+        self.metrics.get().map(Metrics::render).unwrap_or_default()
+    }
+
+    /// Receives one message of another VM.
+    pub(crate) async fn receive(&self, buf: &mut [u8]) -> std::io::Result<usize> {
+        self.socket.recv_from(buf).await.map(|(len, _)| len)
+    }
+
+    /// Sends messages to other VMs; a lost one is made up for by later ones.
+    pub(crate) fn send(&self, out: Outbox) {
+        for sent in out {
+            let Some(addr) = sent.addr else { continue };
+            if let Ok(bytes) = postcard::to_stdvec(&(self.gateway.vm(), &sent.msg)) {
+                let _ = self.socket.try_send_to(&bytes, addr);
+            }
+        }
+    }
+
+    /// Whether this VM takes callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.gateway.live().ready && !self.gateway.is_leaving()
+    }
+
+    /// This VM as it lists itself.
+    pub(crate) fn announced(&self) -> AnnouncedVm {
+        AnnouncedVm {
+            vm: self.cfg.vm.clone(),
+            domain: self.cfg.domain.clone(),
+            region: self.cfg.region.clone(),
+            callers: self.cfg.listen.callers,
+            peers: self.cfg.listen.peers,
+        }
+    }
+
+    /// Makes the state for requests anew.
+    pub(crate) fn rebuild(&self, now: Instant) {
+        let mut world = lock(&self.world);
+        world.expire(now);
+        let previous = self.gateway.live();
+        let live = world.live(&previous, self.sharing_vms(), now);
+        *lock(&self.next_change) = world.next_change(now);
+        drop(world);
+        let was_ready = previous.ready;
+        let is_ready = live.ready;
+        self.gateway.publish(live);
+        self.rebuilds.fetch_add(1, Ordering::Relaxed);
+        if is_ready && !was_ready {
+            emit!(Event::CurrentAgain, vm = self.cfg.vm);
+        }
+    }
+
+    /// Whether something changed by the passing of time alone.
+    pub(crate) fn time_has_come(&self, now: Instant) -> bool {
+        lock(&self.next_change).is_some_and(|at| at <= now)
+    }
+
+    /// VMs that limits are divided by.
+    pub(crate) fn sharing_vms(&self) -> u32 {
+        self.sharing.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Takes the VMs that callers may use and counts those that share limits.
+    pub(crate) fn set_vms(&self, alive: usize, listed: usize, callers: Vec<(RegionName, SocketAddr)>) {
+        let sees_most = alive as f64 > listed as f64 * QUORUM_PART;
+        let sharing = if sees_most { alive } else { listed };
+        let before = self.sharing.swap(sharing as u32, Ordering::Relaxed);
+        let live = self.gateway.live();
+        if live.vms != callers {
+            let next = Live {
+                vms: callers,
+                ..Live::clone(&live)
+            };
+            emit!(
+                Event::VmStateChanged,
+                usable = next.vms.len(),
+                listed = listed,
+                sharing = sharing
+            );
+            self.gateway.publish(next);
+        }
+        if before != sharing as u32 {
+            self.rebuild(Instant::now());
+        }
+    }
+
+    pub(crate) fn list_changed(&self, list: &List) -> bool {
+        let mut held = lock(&self.list);
+        let changed = *held != *list;
+        if changed {
+            held.clone_from(list);
+        }
+        changed
+    }
+
+    pub(crate) fn is_self_leaving(&self, vm: &VmName) -> bool {
+        *vm == self.cfg.vm && self.gateway.is_leaving()
+    }
+
+    /// Whether a shift's record may be written again.
+    pub(crate) fn may_write(&self, service: &ServiceName, now: Instant) -> bool {
+        let mut writes = lock(&self.shift_writes);
+        let due = writes.get(service).is_none_or(|at| now >= *at + SHIFT_WRITE_GAP);
+        if due {
+            writes.insert(service.clone(), now);
+        }
+        due
+    }
+
+    /// Takes a shift's record that this VM wrote.
+    pub(crate) fn take_record(&self, service: &ServiceName, record: ShiftRecord) {
+        let now = Instant::now();
+        {
+            let mut world = lock(&self.world);
+            let Some(clock) = world.store_clock(now) else { return };
+            let batch = crate::Batch {
+                version: record.version,
+                clock,
+                updates: vec![Update::Shift(service.clone(), Some(record))],
+            };
+            world.apply(Feed::Shifts, &batch, false, now);
+        }
+        self.rebuild(now);
+    }
+
+    /// The number of times that everything had to be read again.
+    pub(crate) fn epoch(&self) -> u64 {
+        *self.epoch.borrow()
+    }
+
+    /// Has everything read again.
+    pub(crate) fn start_epoch(&self) {
+        self.epoch.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// Waits until everything has to be read again.
+    pub(crate) async fn epoch_changed(&self, seen: u64) {
+        // The sender lives as long as the node, so the wait does not fail.
+        let _ = self.epoch.subscribe().wait_for(|epoch| *epoch != seen).await;
+    }
+}
+
+/// The membership protocol, fast enough that a VM that stopped is not named beyond the deployment's bound.
+fn members(cfg: &GatewaySettings, bounds: &Bounds) -> Members {
+    let usual = Config::default();
+    let config = Config {
+        addr: Some(cfg.listen.peers),
+        probe_interval: usual.probe_interval.min(bounds.vm_loss / 6),
+        indirect_timeout: usual.indirect_timeout.min(bounds.vm_loss / 8),
+        suspicion: usual.suspicion.min(bounds.vm_loss / 4),
+        domain_silence: usual.domain_silence.min(bounds.vm_loss / 2),
+        ..usual
+    };
+    let incarnation = Incarnation(jiff::Timestamp::now().as_microsecond().unsigned_abs());
+    let (domain, region) = (cfg.domain.clone(), cfg.region.clone());
+    Members::new(cfg.vm.clone(), incarnation, domain, region, Instant::now(), config)
+}
--- /dev/null
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -0,0 +1,140 @@
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use mh_edge::{PortLimits, Server, serve_with};
+use mh_types::{Event, RegionName, emit};
+use tokio::net::TcpListener;
+use tokio::time::Duration;
+
+use super::GatewayNode;
+use crate::request::add_lookup;
+
+/// VMs named in one look-up's answer at most.
+const MAX_NAMED: usize = 64;
+
+/// Part of the longest lifetime that an answer is given. Callers may keep an answer for longer than they are told, and a
+/// short one lets a VM leave within its grace.
+const LIFETIME_PART: f64 = 0.4;
+
+/// Longest wait for a request on the ports for look-ups and checks.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Wait before accepting again after `accept` failed, for example for lack of descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Part of the descriptors that callers' connections may use; backend servers, the store and files need the others.
+const CALLER_PART: f64 = 0.6;
+
+/// Path of the metrics, on the port for checks.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves callers' requests.
+pub(super) fn serve_callers(listener: TcpListener, node: &Arc<GatewayNode>) -> std::io::Result<Server> {
+    let gateway = Arc::clone(&node.gateway);
+    let limits = {
+        let gateway = Arc::clone(&gateway);
+        let max_connections = (node.cfg.descriptors as f64 * CALLER_PART) as usize;
+        move || {
+            let live = gateway.live();
+            let caller = live.plan.as_ref().map(|plan| plan.limits).unwrap_or_default();
+            PortLimits {
+                max_connections,
+                // The time also runs while a kept connection waits for its next request.
+                header_timeout: caller.header_timeout.max(caller.idle_timeout),
+                ..PortLimits::default()
+            }
+        }
+    };
+    serve_with(listener, limits, move |req| {
+        let gateway = Arc::clone(&gateway);
+        async move { gateway.handle(req).await }
+    })
+}
+
+/// Serves readiness checks and metrics.
+pub(super) fn serve_health(listener: TcpListener, node: Arc<GatewayNode>) {
+    tokio::spawn(accept(listener, node, |node, req| {
+        if req.uri().path() == METRICS_PATH {
+            return text(StatusCode::OK, node.metrics_text());
+        }
+        if req.uri().path() != node.interface.ready_path() {
+            return text(StatusCode::NOT_FOUND, String::new());
+        }
+        let status = if node.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        text(status, String::new())
+    }));
+}
+
+/// Serves look-ups.
+pub(super) fn serve_lookups(listener: TcpListener, node: Arc<GatewayNode>) {
+    tokio::spawn(accept(listener, node, |node, req| {
+        if req.method() != Method::GET || req.uri().path() != node.interface.lookup_path() {
+            return text(StatusCode::NOT_FOUND, String::new());
+        }
+        add_lookup(node.gateway.counters());
+        let query = node.interface.lookup_query(req.uri().query().unwrap_or_default());
+        let vms = named(&node.gateway.live().vms, query.region.as_ref());
+        if vms.is_empty() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, String::new());
+        }
+        let lifetime = node.gateway.bounds().lookup_lifetime.mul_f64(LIFETIME_PART);
+        let mut answer = Response::new(Full::new(node.interface.lookup_answer(&vms, lifetime)));
+        let json = HeaderValue::from_static("application/json");
+        answer.headers_mut().insert(CONTENT_TYPE, json);
+        answer
+    }));
+}
+
+/// The VMs of the caller's region, or all when it has none.
+fn named(vms: &[(RegionName, SocketAddr)], region: Option<&RegionName>) -> Vec<SocketAddr> {
+    let near = vms.iter().filter(|(of, _)| region.is_some_and(|region| of == region));
+    let near: Vec<SocketAddr> = near.map(|(_, addr)| *addr).take(MAX_NAMED).collect();
+    if near.is_empty() {
+        vms.iter().map(|(_, addr)| *addr).take(MAX_NAMED).collect()
+    } else {
+        near
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    answer
+}
+
+async fn accept(
+    listener: TcpListener,
+    node: Arc<GatewayNode>,
+    answer: fn(&Arc<GatewayNode>, &Request<Incoming>) -> Response<Full<Bytes>>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let node = Arc::clone(&node);
+        let service = hyper::service::service_fn(move |req: Request<Incoming>| {
+            let answer = answer(&node, &req);
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let mut builder = hyper::server::conn::http1::Builder::new();
+        builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                emit!(Event::ConnectionFailed, error = e);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/mh_gateway/src/plan.rs
@@ -0,0 +1,86 @@
+mod caller_limits;
+mod host_route;
+mod plan_org;
+mod plan_service;
+mod target;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arcstr::ArcStr;
+use mh_config::KeyHash;
+use mh_types::{OrgName, Revision, ServiceName};
+
+pub use caller_limits::CallerLimits;
+pub use host_route::HostRoute;
+pub use plan_org::PlanOrg;
+pub use plan_service::PlanService;
+pub use target::Target;
+
+/// One revision of routes, organisations and services; immutable.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Revision, which only rises.
+    pub revision: Revision,
+    /// Services by name.
+    pub services: HashMap<ServiceName, PlanService>,
+    /// Organisations by name.
+    pub orgs: HashMap<OrgName, Arc<PlanOrg>>,
+    /// Limits on what callers send.
+    pub limits: CallerLimits,
+    hosts: HashMap<ArcStr, Vec<Arc<HostRoute>>>,
+    keys: HashMap<KeyHash, Arc<PlanOrg>>,
+}
+
+impl Plan {
+    /// A plan of `routes` and of `orgs` with the hashes of their keys.
+    pub fn new(
+        revision: Revision,
+        routes: Vec<HostRoute>,
+        services: Vec<PlanService>,
+        orgs: Vec<(PlanOrg, Vec<KeyHash>)>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut hosts: HashMap<ArcStr, Vec<Arc<HostRoute>>> = HashMap::new();
+        for route in routes {
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let mut plan = Self {
+            revision,
+            services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
+            limits,
+            hosts,
+            ..Self::default()
+        };
+        for (org, keys) in orgs {
+            let org = Arc::new(org);
+            plan.keys.extend(keys.into_iter().map(|key| (key, Arc::clone(&org))));
+            plan.orgs.insert(org.name.clone(), org);
+        }
+        plan
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<HostRoute>> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Every route.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<HostRoute>> {
+        self.hosts.values().flatten()
+    }
+
+    /// Whether callers need keys at all.
+    pub fn has_keys(&self) -> bool {
+        !self.orgs.is_empty()
+    }
+
+    /// The holder of a key; `None` when it is unknown or was withdrawn.
+    pub fn org_of_key(&self, key: &str) -> Option<&Arc<PlanOrg>> {
+        self.keys.get(&KeyHash::of(key))
+    }
+}
--- /dev/null
+++ b/crates/mh_gateway/src/plan/target.rs
@@ -0,0 +1,10 @@
+use mh_types::ServiceName;
+
+/// A service that answers a part of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, in parts of the sum of all weights.
+    pub weight: f64,
+}
--- /dev/null
+++ b/crates/mh_gateway/src/request.rs
@@ -0,0 +1,14 @@
+mod answering;
+mod attempt;
+mod body;
+mod counters;
+mod cx;
+mod exchange;
+mod forward;
+mod gateway;
+mod held_answer;
+mod outgoing;
+
+pub use counters::Counters;
+pub(crate) use counters::add_lookup;
+pub use gateway::Gateway;
--- /dev/null
+++ b/crates/mh_gateway/src/request/cx.rs
@@ -0,0 +1,59 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use arcstr::ArcStr;
+use hyper::header::HeaderValue;
+use mh_route::objects::WorkTimes;
+use mh_types::{RegionName, Revision, ServiceName};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::{ActiveShift, HeaderNames, HostRoute, PlanOrg, ServiceBackends};
+
+/// Time past a route's timeout that a server's own answer to it may take to arrive.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+
+/// One request with all that was decided about it before the choice of a server.
+#[derive(Debug)]
+pub(super) struct Cx {
+    pub(super) id: ArcStr,
+    pub(super) id_header: HeaderValue,
+    pub(super) arrived: Instant,
+    /// When the caller stops waiting.
+    pub(super) deadline: Instant,
+    /// When the route's timeout ends.
+    pub(super) timeout: Instant,
+    pub(super) revision: Revision,
+    pub(super) route: Arc<HostRoute>,
+    pub(super) org: Option<Arc<PlanOrg>>,
+    pub(super) service: ServiceName,
+    pub(super) backends: Arc<ServiceBackends>,
+    pub(super) work: Arc<WorkTimes>,
+    pub(super) shift: Option<ActiveShift>,
+    pub(super) object: Option<u64>,
+    /// Regions whose servers may get the request; empty for all.
+    pub(super) regions: SmallVec<[RegionName; 4]>,
+    pub(super) max_body_bytes: u64,
+    pub(super) headers: Arc<HeaderNames>,
+}
+
+impl Cx {
+    /// Time until an answer is of no use.
+    pub(super) fn left(&self) -> Duration {
+        self.end().saturating_duration_since(Instant::now())
+    }
+
+    /// The earlier of the caller's deadline and the route's timeout.
+    pub(super) fn end(&self) -> Instant {
+        self.deadline.min(self.timeout)
+    }
+
+    /// When the wait for a server ends. A server that stops at the time it was given answers just after it.
+    pub(super) fn answer_by(&self) -> Instant {
+        self.deadline.min(self.timeout + ANSWER_GRACE)
+    }
+
+    pub(super) fn elapsed_ms(&self) -> u64 {
+        self.arrived.elapsed().as_millis() as u64
+    }
+}
--- /dev/null
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -0,0 +1,291 @@
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode, Version};
+use mh_edge::{ANY_AGE, AnswerBody, Connection, Upload, strip_hop_by_hop};
+use mh_route::Outcome;
+use mh_route::objects::Placed;
+use mh_shift::CanarySample;
+use mh_types::{Code, Event, emit};
+use tokio::time::Instant;
+
+use super::answering::Answering;
+use super::attempt::{Attempt, Failure, Sent, Unsent};
+use super::body::Body;
+use super::counters::{Counters, add};
+use super::cx::Cx;
+use super::held_answer::{HeldBody, ReadFault, keep_for, read};
+use super::outgoing::message;
+
+/// Longest wait for a connection: several round trips between regions, and less than a lost opening packet takes to be
+/// sent again.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest idle time of a connection that may carry a request that must not run twice. If the server closes the
+/// connection just as the request is written, nothing tells whether it ran; connections used this lately rarely meet
+/// that.
+const FRESH_IDLE: Duration = Duration::from_secs(2);
+
+/// Longest silence in the rest of an answer that is passed on as it arrives.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A server's answer, ready to be passed on.
+#[derive(Debug)]
+pub(super) struct Answered {
+    pub(super) response: Response<AnswerBody>,
+    /// Whether the server failed the request, so that another server may do better.
+    pub(super) is_failure: bool,
+}
+
+/// Sends a request to the server of `placed` and reads the answer.
+pub(super) async fn exchange(
+    cx: &Cx,
+    head: &Parts,
+    body: &mut Body,
+    placed: Placed,
+    counters: &Counters,
+) -> Result<Answered, Failure> {
+    let server = placed.spec().name.clone();
+    let attempt = Attempt::new();
+    let connection = match connect(cx, &placed, counters).await {
+        Ok(connection) => connection,
+        Err(code) => return Err(failed(cx, placed, Outcome::Failed, attempt.not_run(code))),
+    };
+    if cx.left().is_zero() {
+        return Err(failed(
+            cx,
+            placed,
+            Outcome::Cancelled,
+            attempt.not_run(Code::DeadlinePassed),
+        ));
+    }
+    let Some(upload) = body.upload(cx.max_body_bytes) else {
+        return Err(failed(
+            cx,
+            placed,
+            Outcome::Cancelled,
+            attempt.not_run(Code::RequestIncomplete),
+        ));
+    };
+    let sent_at = Instant::now();
+    let req = message(head, cx, &server, upload);
+    let (sent, connection) = send(cx, attempt, connection, req, &placed, counters).await;
+    match sent {
+        Ok((attempt, answer)) => receive(cx, attempt, connection, placed, answer, sent_at).await,
+        Err((failure, outcome)) => {
+            // The caller broke off its body; that says nothing about the server.
+            let outcome = if body.fault().is_some() {
+                Outcome::Cancelled
+            } else {
+                outcome
+            };
+            Err(failed(cx, placed, outcome, failure))
+        }
+    }
+}
+
+async fn connect(cx: &Cx, placed: &Placed, counters: &Counters) -> Result<Connection, Code> {
+    let connections = cx.backends.connections(&placed.spec().name).ok_or(Code::NoServer)?;
+    let max_age = match (connections.is_suspect(), cx.route.idempotent) {
+        (true, _) => Duration::ZERO,
+        (false, true) => ANY_AGE,
+        (false, false) => FRESH_IDLE,
+    };
+    let limit = CONNECT_TIMEOUT.min(cx.left());
+    let connection = connections.take(limit, max_age).await?;
+    if let Some(took) = connection.connect_time {
+        add(&counters.connects);
+        placed.connected(took);
+    }
+    Ok(connection)
+}
+
+type Answer = (Attempt<Sent>, Response<Incoming>);
+type SendResult = Result<Answer, (Failure, Outcome)>;
+
+/// Sends on `connection`, and once more on a new one when a kept connection turns out to be closed before any byte of
+/// the message was written.
+async fn send(
+    cx: &Cx,
+    attempt: Attempt<Unsent>,
+    mut connection: Connection,
+    req: Request<Upload>,
+    placed: &Placed,
+    counters: &Counters,
+) -> (SendResult, Connection) {
+    let attempt = attempt.send();
+    let mut error = match try_send(cx, &mut connection, req).await {
+        None => return (Err((attempt.lost(Code::AnswerTimeout), Outcome::TimedOut)), connection),
+        Some(Ok(answer)) => return (Ok((attempt, answer)), connection),
+        Some(Err(error)) => error,
+    };
+    let Some(req) = error.take_message() else {
+        return (Err((attempt.lost(Code::AnswerLost), Outcome::Failed)), connection);
+    };
+    let attempt = attempt.handed_back(&req);
+    let Some(connections) = cx
+        .backends
+        .connections(&placed.spec().name)
+        .filter(|_| connection.reused)
+    else {
+        return (Err((attempt.not_run(Code::ConnectFailed), Outcome::Failed)), connection);
+    };
+    let mut fresh = match connections.open(CONNECT_TIMEOUT.min(cx.left())).await {
+        Ok(fresh) => fresh,
+        Err(code) => return (Err((attempt.not_run(code), Outcome::Failed)), connection),
+    };
+    add(&counters.connects);
+    let attempt = attempt.send();
+    let result = match try_send(cx, &mut fresh, req).await {
+        None => Err((attempt.lost(Code::AnswerTimeout), Outcome::TimedOut)),
+        Some(Ok(answer)) => Ok((attempt, answer)),
+        Some(Err(_)) => Err((attempt.lost(Code::AnswerLost), Outcome::Failed)),
+    };
+    (result, fresh)
+}
+
+async fn try_send(
+    cx: &Cx,
+    connection: &mut Connection,
+    req: Request<Upload>,
+) -> Option<Result<Response<Incoming>, TrySendError<Request<Upload>>>> {
+    let sent = connection.sender.try_send_request(req);
+    tokio::time::timeout_at(cx.answer_by(), sent).await.ok()
+}
+
+/// Reads the answer and checks that it is this request's.
+async fn receive(
+    cx: &Cx,
+    attempt: Attempt<Sent>,
+    connection: Connection,
+    placed: Placed,
+    answer: Response<Incoming>,
+    sent_at: Instant,
+) -> Result<Answered, Failure> {
+    let (mut head, body) = answer.into_parts();
+    let now = Instant::now();
+    let load = head.headers.get(&cx.headers.server_load).and_then(|v| v.to_str().ok());
+    if let Some(load) = load.and_then(parse_load) {
+        placed.reported(now, load);
+    }
+    let echoed = head.headers.get(&cx.headers.request_id);
+    if echoed.is_some_and(|id| *id != cx.id_header) {
+        connection.note_stray();
+        return Err(failed(cx, placed, Outcome::Failed, attempt.lost(Code::AnswerMismatch)));
+    }
+    let keep = keep_for(&head.headers);
+    let is_moved = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_moved || head.headers.contains_key(&cx.headers.not_run) {
+        let (code, outcome) = if is_moved {
+            (Code::ServerLeaving, Outcome::Failed)
+        } else {
+            (Code::NoCapacity, Outcome::Shed)
+        };
+        if let (Ok(HeldBody::Whole(_)), Some(keep)) = (read(body, cx.answer_by()).await, keep) {
+            connection.give_back_for(keep);
+        }
+        return Err(failed(cx, placed, outcome, attempt.refused_by_server(code)));
+    }
+    let held = match read(body, cx.answer_by()).await {
+        Ok(held) => held,
+        Err(ReadFault::BrokenOff) => {
+            return Err(failed(cx, placed, Outcome::Failed, attempt.lost(Code::AnswerLost)));
+        }
+        Err(ReadFault::TooLate) => {
+            return Err(failed(cx, placed, Outcome::TimedOut, attempt.lost(Code::AnswerTimeout)));
+        }
+    };
+    strip_hop_by_hop(&mut head.headers);
+    head.version = Version::HTTP_11;
+    let is_failure = head.status.is_server_error();
+    let outcome = Outcome::Answered {
+        status: head.status.as_u16(),
+        latency: sent_at.elapsed(),
+    };
+    observe(cx, &placed, outcome);
+    emit!(
+        Event::RequestAnswered,
+        request = cx.id,
+        route = cx.route.name,
+        revision = cx.revision,
+        server = placed.spec().name,
+        warm = placed.is_warm(),
+        forecast_ms = placed.forecast().as_millis(),
+        status = head.status.as_u16(),
+        after_ms = cx.elapsed_ms()
+    );
+    let body = match held {
+        HeldBody::Whole(bytes) => {
+            if let Some(keep) = keep {
+                connection.give_back_for(keep);
+            }
+            placed.done(Instant::now(), outcome);
+            AnswerBody::whole(bytes)
+        }
+        HeldBody::Start(start, rest) => {
+            let ending = Answering {
+                connection,
+                placed,
+                outcome,
+                keep_for: keep,
+            };
+            AnswerBody::streamed(start, rest, PIECE_TIMEOUT, Box::new(ending))
+        }
+    };
+    Ok(Answered {
+        response: Response::from_parts(head, body),
+        is_failure,
+    })
+}
+
+/// Requests running and waiting, from `running,waiting,slots`.
+fn parse_load(text: &str) -> Option<u32> {
+    let mut parts = text.split(',').map(|part| part.trim().parse::<u32>().ok());
+    Some(parts.next()?? + parts.next()??)
+}
+
+fn failed(cx: &Cx, placed: Placed, outcome: Outcome, failure: Failure) -> Failure {
+    emit!(
+        Event::AttemptFailed,
+        request = cx.id,
+        route = cx.route.name,
+        server = placed.spec().name,
+        warm = placed.is_warm(),
+        forecast_ms = placed.forecast().as_millis(),
+        code = failure.code().number(),
+        run = failure.run(),
+        after_ms = cx.elapsed_ms()
+    );
+    observe(cx, &placed, outcome);
+    placed.done(Instant::now(), outcome);
+    failure
+}
+
+/// Records how the request ended as evidence about a new version.
+fn observe(cx: &Cx, placed: &Placed, outcome: Outcome) {
+    let Some(shift) = &cx.shift else { return };
+    let Some(canary) = &shift.canary else { return };
+    let (is_bad, time_ratio) = match outcome {
+        Outcome::Answered { status, latency } => {
+            let forecast = placed.forecast().as_secs_f64().max(0.001);
+            (status >= 500, Some(latency.as_secs_f64() / forecast))
+        }
+        Outcome::Failed | Outcome::TimedOut => (true, None),
+        Outcome::Shed | Outcome::Closing | Outcome::Cancelled => return,
+    };
+    // A cold server is slow whatever version it runs.
+    if placed.is_cold() {
+        return;
+    }
+    let is_new = placed.spec().version == shift.to;
+    canary.observe(
+        &cx.route.name,
+        CanarySample {
+            is_new,
+            is_bad,
+            time_ratio: time_ratio.filter(|_| !is_bad),
+        },
+    );
+}
--- /dev/null
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -0,0 +1,323 @@
+use std::hash::Hasher;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, Guard};
+use arcstr::ArcStr;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Method, Request, Response};
+use mh_edge::{AnswerBody, Refusal, total_bytes};
+use mh_types::{Code, Event, Run, VmName, emit};
+use siphasher::sip::SipHasher13;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use super::body::Body;
+use super::counters::{Counters, Running, add};
+use super::cx::Cx;
+use super::forward::forward;
+use super::outgoing::head;
+use crate::{Bounds, HeaderNames, HostRoute, Live, Plan, PlanOrg};
+
+/// Wait that a caller is asked for while this VM is not ready.
+const NOT_READY_WAIT: Duration = Duration::from_millis(500);
+
+/// Wait that a caller is asked for by a VM that is shutting down; another VM can serve at once.
+const LEAVING_WAIT: Duration = Duration::from_millis(50);
+
+/// Part of a request's time left that a caller waits at most before it comes back; a longer wait would not be kept.
+const MAX_WAIT_PART: f64 = 0.3;
+
+/// Answers the requests of callers.
+#[derive(Debug)]
+pub struct Gateway {
+    vm: VmName,
+    headers: Arc<HeaderNames>,
+    bounds: ArcSwap<Bounds>,
+    live: ArcSwap<Live>,
+    counters: Counters,
+    leaving: AtomicBool,
+    closed: AtomicBool,
+}
+
+impl Gateway {
+    /// A gateway without a plan; it refuses every request until [`Gateway::publish`].
+    pub fn new(vm: VmName, headers: HeaderNames, bounds: Bounds) -> Self {
+        Self {
+            vm,
+            headers: Arc::new(headers),
+            bounds: ArcSwap::from_pointee(bounds),
+            live: ArcSwap::default(),
+            counters: Counters::default(),
+            leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+        }
+    }
+
+    /// Name of this VM.
+    pub fn vm(&self) -> &VmName {
+        &self.vm
+    }
+
+    /// Counters since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// The promises in force.
+    pub fn bounds(&self) -> Bounds {
+        **self.bounds.load()
+    }
+
+    /// Replaces the promises.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        self.bounds.store(Arc::new(bounds));
+    }
+
+    /// The state that requests read now.
+    pub fn live(&self) -> Guard<Arc<Live>> {
+        self.live.load()
+    }
+
+    /// Replaces the state that requests read.
+    pub fn publish(&self, live: Live) {
+        self.live.store(Arc::new(live));
+    }
+
+    /// Tells callers to use other VMs; requests are still served.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Whether the VM is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Refuses new requests, so that those that run can end.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
+    /// Answers one request.
+    pub async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let _running = Running::start(&self.counters.running);
+        add(&self.counters.requests);
+        let arrived = Instant::now();
+        let id_header = req.headers().get(&self.headers.request_id).cloned();
+        let id_header = id_header.unwrap_or_else(random_id);
+        let id = ArcStr::from(id_header.to_str().unwrap_or("unreadable"));
+        let mut answer = match self.answer(req, &id, &id_header, arrived).await {
+            Ok(answer) => {
+                add(&self.counters.served);
+                answer
+            }
+            Err(refusal) => self.refuse(refusal, &id, &id_header, arrived),
+        };
+        if self.is_leaving() {
+            answer
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    fn refuse(&self, refusal: Refusal, id: &str, id_header: &HeaderValue, arrived: Instant) -> Response<AnswerBody> {
+        let (counter, event) = match refusal.run {
+            Run::NotRun => (&self.counters.refused, Event::RequestRefused),
+            Run::Unknown => (&self.counters.failed, Event::RequestFailed),
+        };
+        add(counter);
+        let retry_after = refusal.retry_after.filter(|_| refusal.run == Run::NotRun);
+        emit!(
+            event,
+            code = refusal.code.number(),
+            run = refusal.run,
+            request = id,
+            retry_after_ms = retry_after.unwrap_or_default().as_millis(),
+            after_ms = arrived.elapsed().as_millis()
+        );
+        let mut answer = refusal.into_response(id);
+        let headers = answer.headers_mut();
+        headers.insert(self.headers.request_id.clone(), id_header.clone());
+        headers.remove(RETRY_AFTER);
+        // Callers read fractions of a second; whole seconds would waste most of a short deadline.
+        if let Some(wait) = retry_after
+            && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()))
+        {
+            headers.insert(RETRY_AFTER, value);
+        }
+        answer
+    }
+
+    async fn answer(
+        &self,
+        req: Request<Incoming>,
+        id: &ArcStr,
+        id_header: &HeaderValue,
+        arrived: Instant,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if self.closed.load(Ordering::Acquire) {
+            return Err(refusal_with_wait(Code::Leaving, LEAVING_WAIT));
+        }
+        let live = self.live.load_full();
+        let Some(plan) = live.plan.as_ref().filter(|_| live.ready) else {
+            return Err(refusal_with_wait(Code::NotCurrent, NOT_READY_WAIT));
+        };
+        let (parts, incoming) = req.into_parts();
+        if total_bytes(&parts.headers) > plan.limits.max_header_bytes {
+            return Err(not_run(Code::HeadersTooLarge));
+        }
+        if parts.method == Method::CONNECT {
+            return Err(not_run(Code::RequestInvalid));
+        }
+        let host = host_of(&parts.headers, parts.uri.host()).ok_or_else(|| not_run(Code::RequestInvalid))?;
+        let route = plan.route(&host, parts.uri.path());
+        let route = Arc::clone(route.ok_or_else(|| not_run(Code::NoRoute))?);
+        let org = authorise(plan, &route, &parts.headers, &self.headers)?;
+        let deadline = deadline(&parts.headers, &self.headers, arrived, &route)?;
+        let mut cx = self.context(&live, plan, route, org, (id, id_header), arrived)?;
+        cx.deadline = deadline;
+        cx.object = object_of(&parts.headers, &self.headers).filter(|_| cx.route.sticky);
+        self.admit(&live, &cx)?;
+        let mut body = Body::read(incoming, cx.max_body_bytes).await?;
+        let head = head(parts, &self.headers, cx.org.as_ref().map(|org| org.name.as_str()));
+        let result = forward(&cx, &head, &mut body, &self.counters).await;
+        result.map_err(|mut refusal| {
+            // A caller does not wait longer than a part of the time that it has left.
+            let longest = cx
+                .deadline
+                .saturating_duration_since(Instant::now())
+                .mul_f64(MAX_WAIT_PART);
+            refusal.retry_after = refusal.retry_after.map(|wait| wait.min(longest));
+            refusal
+        })
+    }
+
+    fn context(
+        &self,
+        live: &Live,
+        plan: &Plan,
+        route: Arc<HostRoute>,
+        org: Option<Arc<PlanOrg>>,
+        (id, id_header): (&ArcStr, &HeaderValue),
+        arrived: Instant,
+    ) -> Result<Cx, Refusal> {
+        let target = route.target(rand::random()).ok_or_else(|| not_run(Code::NoServer))?;
+        let service = target.service.clone();
+        let backends = live.backends.get(&service).map(Arc::clone);
+        let work = live.work.get(&route.name).map(Arc::clone);
+        let (Some(backends), Some(work)) = (backends, work) else {
+            return Err(not_run(Code::NoServer));
+        };
+        let regions = regions(&route, org.as_deref())?;
+        Ok(Cx {
+            id: id.clone(),
+            id_header: id_header.clone(),
+            arrived,
+            deadline: arrived + route.timeout,
+            timeout: arrived + route.timeout,
+            revision: plan.revision,
+            shift: live.shifts.get(&service).cloned(),
+            backends,
+            work,
+            service,
+            object: None,
+            regions,
+            max_body_bytes: plan.limits.max_body_bytes,
+            headers: Arc::clone(&self.headers),
+            route,
+            org,
+        })
+    }
+
+    /// Takes one request from this VM's share of the organisation's quota.
+    fn admit(&self, live: &Live, cx: &Cx) -> Result<(), Refusal> {
+        let Some(org) = &cx.org else { return Ok(()) };
+        let Some(meter) = live.quotas.get(&org.name) else {
+            return Ok(());
+        };
+        if meter.try_take_with(Instant::now, 1) {
+            return Ok(());
+        }
+        let per_request = 1.0 / (org.rate_per_s / live.vms.len().max(1) as f64).max(0.1);
+        Err(refusal_with_wait(
+            Code::RateExceeded,
+            Duration::from_secs_f64(per_request),
+        ))
+    }
+}
+
+fn not_run(code: Code) -> Refusal {
+    Refusal::new(code, Run::NotRun)
+}
+
+fn refusal_with_wait(code: Code, wait: Duration) -> Refusal {
+    Refusal {
+        retry_after: Some(wait),
+        ..not_run(code)
+    }
+}
+
+fn random_id() -> HeaderValue {
+    HeaderValue::from_str(&format!("{:032x}", rand::random::<u128>())).unwrap_or_else(|_| HeaderValue::from_static("0"))
+}
+
+/// The host that a request asks for, without a port, in lower case.
+fn host_of(headers: &HeaderMap, uri_host: Option<&str>) -> Option<String> {
+    let header = headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = uri_host.or(header)?;
+    let name = host.split_once(':').map_or(host, |(name, _)| name);
+    (!name.is_empty()).then(|| name.to_ascii_lowercase())
+}
+
+/// The organisation that a request runs for. Open routes need no key; a known one still names its holder.
+fn authorise(
+    plan: &Plan,
+    route: &HostRoute,
+    headers: &HeaderMap,
+    names: &HeaderNames,
+) -> Result<Option<Arc<PlanOrg>>, Refusal> {
+    let key = headers.get(&names.key).and_then(|value| value.to_str().ok());
+    let org = key.and_then(|key| plan.org_of_key(key));
+    match (org, key) {
+        (Some(org), _) => Ok(Some(Arc::clone(org))),
+        (None, _) if route.open || !plan.has_keys() => Ok(None),
+        (None, Some(_)) => Err(not_run(Code::KeyUnknown)),
+        (None, None) => Err(not_run(Code::KeyMissing)),
+    }
+}
+
+/// When the caller stops waiting; without a header it waits as long as the route allows.
+fn deadline(headers: &HeaderMap, names: &HeaderNames, arrived: Instant, route: &HostRoute) -> Result<Instant, Refusal> {
+    let Some(value) = headers.get(&names.deadline_ms) else {
+        return Ok(arrived + route.timeout);
+    };
+    let ms: Option<u64> = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    let ms = ms.ok_or_else(|| not_run(Code::DeadlineInvalid))?;
+    // An hour is longer than any caller waits and cannot overflow the clock.
+    Ok(arrived + Duration::from_millis(ms.min(3_600_000)))
+}
+
+fn object_of(headers: &HeaderMap, names: &HeaderNames) -> Option<u64> {
+    let value = headers.get(&names.object)?;
+    let mut hasher = SipHasher13::new();
+    hasher.write(value.as_bytes());
+    Some(hasher.finish())
+}
+
+/// Regions that both the route and the organisation allow; empty for all.
+fn regions(route: &HostRoute, org: Option<&PlanOrg>) -> Result<SmallVec<[mh_types::RegionName; 4]>, Refusal> {
+    let of_org = org.map_or(&[][..], |org| &org.regions);
+    let both: SmallVec<[mh_types::RegionName; 4]> = match (route.regions.is_empty(), of_org.is_empty()) {
+        (_, true) => route.regions.iter().cloned().collect(),
+        (true, false) => of_org.iter().cloned().collect(),
+        (false, false) => route.regions.iter().filter(|r| of_org.contains(r)).cloned().collect(),
+    };
+    if both.is_empty() && !(route.regions.is_empty() && of_org.is_empty()) {
+        return Err(not_run(Code::NoServer));
+    }
+    Ok(both)
+}
--- /dev/null
+++ b/crates/mh_gateway/src/source/shift_order.rs
@@ -0,0 +1,14 @@
+use std::time::Duration;
+
+use mh_types::VersionName;
+
+/// An operator's order to move a service to a new version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShiftOrder {
+    /// The new version.
+    pub to: VersionName,
+    /// Time by which the shift must have ended.
+    pub duration: Duration,
+    /// Version of the order in the store; a later order has a higher one.
+    pub version: u64,
+}
--- /dev/null
+++ b/crates/mh_gateway/src/source/update.rs
@@ -0,0 +1,23 @@
+use std::sync::Arc;
+
+use mh_types::{DomainName, ServerName, ServiceName, VmName};
+
+use super::{AnnouncedVm, RegisteredServer, ShiftOrder, ShiftRecord};
+use crate::Plan;
+
+/// One thing that is known now.
+#[derive(Clone, Debug)]
+pub enum Update {
+    /// The operators' plan.
+    Plan(Arc<Plan>),
+    /// Whether a failure domain is drained.
+    Drained(DomainName, bool),
+    /// The order to shift a service; `None` when there is none any more.
+    Order(ServiceName, Option<ShiftOrder>),
+    /// A server's entry; `None` when it was removed or names no usable server.
+    Server(ServerName, Option<RegisteredServer>),
+    /// How far a shift is; `None` when the record was removed.
+    Shift(ServiceName, Option<ShiftRecord>),
+    /// A VM's entry; `None` when it was removed.
+    Vm(VmName, Option<AnnouncedVm>),
+}
--- a/crates/mh_platform/src/http/client.rs
+++ b/crates/mh_platform/src/http/client.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::Client as HyperClient;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use mh_types::Code;
 use serde::de::DeserializeOwned;
 
@@ -17,9 +17,16 @@
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
+/// Time after which a silent connection is probed, the time between two probes, and the probes without an answer that
+/// end it. A connection that went silent is found within 3 s, whatever waits on it.
+const KEEPALIVE: (Duration, u32) = (Duration::from_secs(1), 2);
+
+/// Longest time that sent bytes may stay without an acknowledgement.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(3);
+
 /// Requests to one platform service.
 #[derive(Debug)]
-pub(super) struct Client {
+pub struct HttpClient {
     addr: SocketAddr,
     timeout: Duration,
     pace: Pace,
@@ -28,17 +35,29 @@
 
 /// A platform answer that arrived whole.
 #[derive(Debug)]
-pub(super) struct Answer {
-    pub(super) status: StatusCode,
-    pub(super) body: Bytes,
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
 }
 
-impl Answer {
-    pub(super) fn json<T: DeserializeOwned>(&self) -> Result<T> {
+impl HttpAnswer {
+    /// Decodes the body.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PlatformAnswerInvalid`] when the body is not of this form.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
         serde_json::from_slice(&self.body).change_context(PlatformError(Code::PlatformAnswerInvalid))
     }
 
-    pub(super) fn expect_ok(self, unreachable: Code) -> Result<Self> {
+    /// The answer if its status is a success.
+    ///
+    /// # Errors
+    ///
+    /// `unreachable` with the status.
+    pub fn expect_ok(self, unreachable: Code) -> Result<Self> {
         if self.status.is_success() {
             return Ok(self);
         }
@@ -46,11 +65,21 @@
     }
 }
 
-impl Client {
-    pub(super) fn new(addr: SocketAddr, timeout: Duration, per_second: u32) -> Self {
+impl HttpClient {
+    /// A client of the service at `addr` that waits `timeout` for an answer and sends at most `per_second` requests a
+    /// second.
+    pub fn new(addr: SocketAddr, timeout: Duration, per_second: u32) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout));
+        connector.set_keepalive(Some(KEEPALIVE.0));
+        connector.set_keepalive_interval(Some(KEEPALIVE.0));
+        connector.set_keepalive_retries(Some(KEEPALIVE.1));
+        connector.set_tcp_user_timeout(Some(ACKNOWLEDGED_WITHIN));
         let http = HyperClient::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(30))
-            .build_http();
+            .pool_timer(TokioTimer::new())
+            .build(connector);
         Self {
             addr,
             timeout,
@@ -60,7 +89,27 @@
     }
 
     /// Sends a request; any failure after it was sent has the code `lost`.
-    pub(super) async fn send(&self, method: Method, path: &str, body: Option<Bytes>, lost: Code) -> Result<Answer> {
+    ///
+    /// # Errors
+    ///
+    /// `lost`, or a code that shows that nothing was sent.
+    pub async fn send(&self, method: Method, path: &str, body: Option<Bytes>, lost: Code) -> Result<HttpAnswer> {
+        self.send_within(self.timeout, method, path, body, lost).await
+    }
+
+    /// Like [`send`](Self::send), with another limit on the wait for the answer.
+    ///
+    /// # Errors
+    ///
+    /// The same as of `send`.
+    pub async fn send_within(
+        &self,
+        timeout: Duration,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        lost: Code,
+    ) -> Result<HttpAnswer> {
         if !self.pace.take(self.timeout).await {
             return Err(Report::new(PlatformError(Code::BudgetUsedUp)));
         }
@@ -79,12 +128,14 @@
             let status = answer.status();
             let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
             let body = body.map_err(|e| Report::new(error).attach(e.to_string()))?.to_bytes();
-            Ok(Answer { status, body })
+            Ok(HttpAnswer { status, body })
         };
-        match tokio::time::timeout(self.timeout, exchange).await {
+        match tokio::time::timeout(timeout, exchange).await {
             Ok(answer) => answer,
-            Err(_) => Err(Report::new(PlatformError(late(lost)))
-                .attach(format!("no answer within {} ms", self.timeout.as_millis()))),
+            Err(_) => {
+                Err(Report::new(PlatformError(late(lost)))
+                    .attach(format!("no answer within {} ms", timeout.as_millis())))
+            }
         }
     }
 }
@@ -108,6 +159,6 @@
 }
 
 /// Encodes text for use in a query.
-pub(super) fn encode(text: &str) -> String {
+pub fn encode(text: &str) -> String {
     percent_encoding::utf8_percent_encode(text, percent_encoding::NON_ALPHANUMERIC).to_string()
 }
--- a/crates/mh_platform/src/http/objects.rs
+++ b/crates/mh_platform/src/http/objects.rs
@@ -2,17 +2,17 @@
 use hyper::{Method, StatusCode};
 use mh_types::Code;
 
-use super::client::{Client, encode};
+use super::client::{HttpClient, encode};
 use crate::{BoxFuture, Objects, Result};
 
 /// The object store over HTTP.
 #[derive(Debug)]
 pub struct HttpObjects {
-    client: Client,
+    client: HttpClient,
 }
 
 impl HttpObjects {
-    pub(super) fn new(client: Client) -> Self {
+    pub(super) fn new(client: HttpClient) -> Self {
         Self { client }
     }
 }
--- a/crates/mh_platform/src/http/table.rs
+++ b/crates/mh_platform/src/http/table.rs
@@ -2,17 +2,17 @@
 use hyper::{Method, StatusCode};
 use mh_types::Code;
 
-use super::client::{Client, encode};
+use super::client::{HttpClient, encode};
 use crate::{BoxFuture, Commit, Committed, PlatformError, Result, Row, Table};
 
 /// The table service over HTTP.
 #[derive(Debug)]
 pub struct HttpTable {
-    client: Client,
+    client: HttpClient,
 }
 
 impl HttpTable {
-    pub(super) fn new(client: Client) -> Self {
+    pub(super) fn new(client: HttpClient) -> Self {
         Self { client }
     }
 }
--- a/crates/mh_platform/src/http/vm_list.rs
+++ b/crates/mh_platform/src/http/vm_list.rs
@@ -1,17 +1,17 @@
 use hyper::Method;
 use mh_types::Code;
 
-use super::client::Client;
+use super::client::HttpClient;
 use crate::{BoxFuture, Result, VmList, VmListing};
 
 /// The list of VMs over HTTP.
 #[derive(Debug)]
 pub struct HttpVmList {
-    client: Client,
+    client: HttpClient,
 }
 
 impl HttpVmList {
-    pub(super) fn new(client: Client) -> Self {
+    pub(super) fn new(client: HttpClient) -> Self {
         Self { client }
     }
 }
--- a/crates/mh_platform/src/lib.rs
+++ b/crates/mh_platform/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use commit::{Check, Commit, Committed, Expect, Write};
 pub use error::PlatformError;
-pub use http::{HttpObjects, HttpPlatform, HttpTable, HttpVmList};
+pub use http::{HttpAnswer, HttpClient, HttpObjects, HttpPlatform, HttpTable, HttpVmList, encode};
 pub use listed_vm::{ListedVm, VmListing, VmState};
 pub use objects::Objects;
 pub use pace::Pace;
--- a/crates/mh_route/src/lib.rs
+++ b/crates/mh_route/src/lib.rs
@@ -40,6 +40,7 @@
 mod load_report;
 mod mark;
 mod no_server;
+pub mod objects;
 mod outcome;
 mod pick;
 mod place;
--- /dev/null
+++ b/crates/mh_route/src/objects/pool.rs
@@ -0,0 +1,235 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::rendezvous::weight;
+use super::track::Track;
+use super::{Listed, ObjectAsk, ObjectServerView, Placed, Refused};
+use crate::ServerSpec;
+use crate::clock::{Clock, Micros, micros};
+
+/// Part of the time lost on a server without the object that counts against it; the rest is the investment that makes
+/// the server a second choice for the next requests.
+const WARMING_COST: f64 = 0.6;
+
+/// Answers that are predicted to miss the latency target count as this many times the lateness.
+const LATE_COST: f64 = 1.5;
+
+/// Factor on the cost of a server whose answers are all errors, less one.
+const ERROR_COST: f64 = 9.0;
+
+/// Shortest wait that a refused caller is told.
+const MIN_ROOM_IN: Duration = Duration::from_millis(50);
+
+/// Wait until a cold server may take its first request, as a part of the gap between two.
+const FIRST_COLD_PART: f64 = 1.0;
+
+/// The servers of one service, for placing by object.
+#[derive(Debug)]
+pub struct ObjectPool {
+    clock: Clock,
+    servers: Vec<Server>,
+    /// Time between two requests of this VM to one cold server.
+    cold_gap: Micros,
+}
+
+#[derive(Debug)]
+struct Server {
+    spec: Arc<ServerSpec>,
+    run: u64,
+    leaving: bool,
+    track: Arc<Track>,
+}
+
+/// A server's forecast for one request, in microseconds.
+#[derive(Clone, Copy)]
+struct Forecast {
+    index: usize,
+    warm: bool,
+    wait_us: u64,
+    work_us: u64,
+    finish_us: u64,
+    cost: f64,
+}
+
+impl ObjectPool {
+    /// A pool of the servers `listed`, which keeps what `previous` observed of those that stay.
+    ///
+    /// A cold server takes `cold_per_s` requests a second over all `vms`; zero means that cold servers are not limited.
+    pub fn new(listed: &[Listed], previous: Option<&Self>, cold_per_s: f64, vms: u32, now: Instant) -> Self {
+        let clock = previous.map_or_else(|| Clock::new(now), |previous| previous.clock);
+        let at = clock.micros(now);
+        let cold_gap = if cold_per_s > 0.0 {
+            (f64::from(vms.max(1)) / cold_per_s * 1e6) as Micros
+        } else {
+            0
+        };
+        let servers = listed.iter().map(|listed| {
+            let kept = previous.and_then(|pool| {
+                let same = |s: &&Server| s.spec.name == listed.spec.name && s.spec.addr == listed.spec.addr;
+                pool.servers.iter().filter(same).find(|s| s.run == listed.run)
+            });
+            let track = kept.map_or_else(|| Arc::new(Track::new()), |server| Arc::clone(&server.track));
+            if let Some(until) = listed.cold_until {
+                // The name spreads the first requests of VMs and servers that start together.
+                let part = (weight(at, &listed.spec.name) % 1000) as f64 / 1000.0 * FIRST_COLD_PART;
+                track
+                    .cold
+                    .start(at, clock.micros(until), (cold_gap as f64 * part) as Micros);
+            }
+            Server {
+                spec: Arc::new(listed.spec.clone()),
+                run: listed.run,
+                leaving: listed.leaving,
+                track,
+            }
+        });
+        Self {
+            clock,
+            servers: servers.collect(),
+            cold_gap,
+        }
+    }
+
+    /// Chooses the server whose answer is predicted first and counts the request in flight there.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] when no server may be used or none would answer within `ask.left`. The request has not run.
+    pub fn place(&self, now: Instant, ask: &ObjectAsk<'_>, rnd: u64) -> Result<Placed, Refused> {
+        let at = self.clock.micros(now);
+        let object = ask.object.unwrap_or(rnd);
+        let mut best: Option<Forecast> = None;
+        let mut soonest: Option<u64> = None;
+        let first = ask.object.and_then(|object| self.first_choice(object, ask));
+        for (index, server) in self.servers.iter().enumerate() {
+            if !is_eligible(server, ask) || !server.track.is_open(at) {
+                continue;
+            }
+            let forecast = self.forecast(index, first == Some(index), object, ask, at);
+            if forecast.finish_us > micros(ask.left) {
+                soonest = Some(soonest.map_or(forecast.finish_us, |s| s.min(forecast.finish_us)));
+                continue;
+            }
+            if !server.track.cold.has_room(at) {
+                soonest = Some(soonest.unwrap_or(u64::MAX).min(micros(ask.left) + self.cold_gap));
+                continue;
+            }
+            if best.is_none_or(|best| forecast.cost < best.cost) {
+                best = Some(forecast);
+            }
+        }
+        let chosen = best.filter(|best| self.servers[best.index].track.cold.take(at, self.cold_gap));
+        match (chosen, soonest) {
+            (Some(forecast), _) => Ok(self.placed(&forecast, ask, at)),
+            (None, None) if best.is_none() => Err(Refused::Unavailable),
+            (None, soonest) => {
+                let excess = soonest.unwrap_or(0).saturating_sub(micros(ask.left));
+                Err(Refused::Full {
+                    room_in: Duration::from_micros(excess).max(MIN_ROOM_IN),
+                })
+            }
+        }
+    }
+
+    fn placed(&self, forecast: &Forecast, ask: &ObjectAsk<'_>, at: Micros) -> Placed {
+        let server = &self.servers[forecast.index];
+        server.track.in_flight.fetch_add(1, Ordering::Relaxed);
+        Placed {
+            spec: Arc::clone(&server.spec),
+            run: server.run,
+            track: Arc::clone(&server.track),
+            work: Arc::clone(ask.work),
+            clock: self.clock,
+            object: ask.object,
+            warm: forecast.warm,
+            cold: server.track.cold.is_cold(at),
+            wait_us: forecast.wait_us,
+            work_us: forecast.work_us,
+        }
+    }
+
+    /// The server that other VMs send the object to as well. It does not depend on what this VM observed, so that the
+    /// VMs agree on it; the state of the service is the same for all of them.
+    fn first_choice(&self, object: u64, ask: &ObjectAsk<'_>) -> Option<usize> {
+        let eligible = |(_, server): &(usize, &Server)| !server.leaving && allows(server, ask);
+        let servers = self.servers.iter().enumerate().filter(eligible);
+        servers
+            .max_by_key(|(_, server)| weight(object, &server.spec.name))
+            .map(|(index, _)| index)
+    }
+
+    fn forecast(&self, index: usize, is_first: bool, object: u64, ask: &ObjectAsk<'_>, at: Micros) -> Forecast {
+        let server = &self.servers[index];
+        let track = &server.track;
+        let holds = track.recent.holds(object, at) || (is_first && !track.cold.is_cold(at));
+        let warm = ask.object.is_some() && holds;
+        let slowness = track.slowness(at);
+        let work = ask.work.expected_us(warm) as f64 * slowness;
+        let warm_work = ask.work.expected_us(true) as f64 * slowness;
+        let slots = f64::from(server.spec.slots.max(1));
+        let busy = f64::from(load(&track.in_flight)) + track.others(at);
+        // Requests wait until one of the slots is free; each of those ahead takes its turn on one of them.
+        let wait = (busy + 1.0 - slots).max(0.0) / slots * warm_work;
+        let path = track.path_us() as f64;
+        let finish = wait + work + path;
+        let cost_work = warm_work + (work - warm_work) * WARMING_COST;
+        let late = (wait + cost_work + path - ask.work.target_us() as f64).max(0.0);
+        // Ties between idle servers go by weight, so that VMs agree on the second choice as well.
+        let tie = (weight(object, &server.spec.name) >> 40) as f64 / (1 << 24) as f64;
+        let cost = (wait + cost_work + path + late * LATE_COST) * (1.0 + ERROR_COST * track.error_rate(at))
+            + (1.0 - tie) * 0.02 * warm_work;
+        Forecast {
+            index,
+            warm,
+            wait_us: wait as u64,
+            work_us: work as u64,
+            finish_us: finish as u64,
+            cost,
+        }
+    }
+
+    /// Whether the pool has no servers.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// Slots of the servers that take requests.
+    pub fn slots(&self) -> u32 {
+        let open = self.servers.iter().filter(|server| !server.leaving);
+        open.map(|server| server.spec.slots).sum()
+    }
+
+    /// State of every server, for the state dump.
+    pub fn view(&self, now: Instant) -> Vec<ObjectServerView> {
+        let at = self.clock.micros(now);
+        let servers = self.servers.iter();
+        servers
+            .map(|server| ObjectServerView {
+                name: server.spec.name.clone(),
+                version: server.spec.version.clone(),
+                leaving: server.leaving,
+                cold: server.track.cold.is_cold(at),
+                closed: !server.track.is_open(at),
+                in_flight: load(&server.track.in_flight),
+                others: server.track.others(at),
+                error_rate: server.track.error_rate(at),
+                slowness: server.track.slowness(at),
+            })
+            .collect()
+    }
+}
+
+fn load(counter: &AtomicU32) -> u32 {
+    counter.load(Ordering::Relaxed)
+}
+
+fn allows(server: &Server, ask: &ObjectAsk<'_>) -> bool {
+    (ask.regions.is_empty() || ask.regions.contains(&server.spec.region)) && ask.versions.allow(&server.spec.version)
+}
+
+fn is_eligible(server: &Server, ask: &ObjectAsk<'_>) -> bool {
+    !server.leaving && allows(server, ask) && !ask.exclude.contains(&server.spec.name)
+}
--- a/crates/mh_route/src/retry_budget.rs
+++ b/crates/mh_route/src/retry_budget.rs
@@ -23,6 +23,7 @@
     per_request: u64,
     /// Time between two retries at the minimum rate; `None` when that rate is zero.
     min_gap: Option<Micros>,
+    max_credit: u64,
     credit: AtomicU64,
     next_min: AtomicU64,
     paused_until: AtomicU64,
@@ -31,11 +32,17 @@
 impl RetryBudget {
     /// A budget of `fraction` (0 to 1) retries for each request, and at least `min_rate` retries a second.
     pub fn new(fraction: f64, min_rate: f64, now: Instant) -> Self {
+        Self::with_saved(fraction, min_rate, MAX_SAVED as f64, now)
+    }
+
+    /// Like [`new`](Self::new), with at most `saved` retries saved up.
+    pub fn with_saved(fraction: f64, min_rate: f64, saved: f64, now: Instant) -> Self {
         let gap = |rate: f64| micros(Duration::from_secs_f64((1.0 / rate).min(3600.0)));
         Self {
             clock: Clock::new(now),
             per_request: (fraction.clamp(0.0, 1.0) * CREDIT_UNIT as f64) as u64,
             min_gap: (min_rate > 0.0).then(|| gap(min_rate)),
+            max_credit: (saved.max(0.0) * CREDIT_UNIT as f64) as u64,
             credit: AtomicU64::new(0),
             next_min: AtomicU64::new(0),
             paused_until: AtomicU64::new(0),
@@ -44,7 +51,7 @@
 
     /// Counts a first attempt of a request.
     pub fn on_request(&self) {
-        let add = |credit: u64| Some((credit + self.per_request).min(MAX_SAVED * CREDIT_UNIT));
+        let add = |credit: u64| Some((credit + self.per_request).min(self.max_credit));
         self.credit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).ok();
     }
 
--- a/crates/mh_shift/src/lib.rs
+++ b/crates/mh_shift/src/lib.rs
@@ -43,6 +43,7 @@
 //! ```
 
 mod alarm;
+mod canary;
 mod cell;
 mod contact;
 mod decision;
@@ -79,6 +80,7 @@
 mod write_id;
 mod writer;
 
+pub use canary::{Canary, CanaryLimits, CanarySample, Verdict};
 pub use decision::Decision;
 pub use end::End;
 pub use end_row::EndRow;
--- /dev/null
+++ b/src/bin/mangohook/gateway.rs
@@ -0,0 +1,65 @@
+use std::path::Path;
+
+use mangohook_platform::Deployment;
+use mh_gateway::{GatewayNode, LineLimit, Stopped, init_logging, run_until_signal};
+use mh_node::Exit;
+use mh_types::{Event, emit};
+
+/// Reads and checks the settings file.
+pub(crate) fn load(path: &Path) -> Result<Deployment, Exit> {
+    Deployment::load(path).map_err(|problems| {
+        eprintln!("{problems}");
+        Exit::Usage
+    })
+}
+
+/// Serves until SIGTERM.
+pub(crate) fn run(path: &Path, deployment: Deployment) -> Exit {
+    if let Err(e) = init_logging(deployment.settings.log, LineLimit::default()) {
+        eprintln!("{e}");
+        return Exit::Start;
+    }
+    let mut builder = match deployment.settings.threads {
+        // One thread needs no wake-ups between threads.
+        0 | 1 => tokio::runtime::Builder::new_current_thread(),
+        threads => {
+            let mut builder = tokio::runtime::Builder::new_multi_thread();
+            builder.worker_threads(threads);
+            builder
+        }
+    };
+    let runtime = match builder.enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("{e}");
+            return Exit::Start;
+        }
+    };
+    runtime.block_on(serve(path, deployment))
+}
+
+async fn serve(path: &Path, deployment: Deployment) -> Exit {
+    let Deployment {
+        settings,
+        headers,
+        interface,
+        source,
+    } = deployment;
+    let (node, server) = match GatewayNode::start(settings, headers, interface, source).await {
+        Ok(started) => started,
+        Err((code, detail)) => {
+            eprintln!("{code} {detail}");
+            return Exit::Start;
+        }
+    };
+    let reload = |node: &GatewayNode| match Deployment::load(path) {
+        Ok(deployment) => node.reload(&deployment.settings),
+        // The settings in force stay.
+        Err(problems) => emit!(Event::SettingsRejected, error = problems),
+    };
+    match run_until_signal(node, server, path, reload).await {
+        Stopped::Whole => Exit::Done,
+        Stopped::Cut => Exit::Cut,
+        Stopped::NoSignals => Exit::Start,
+    }
+}
--- a/src/bin/mangohook.rs
+++ b/src/bin/mangohook/main.rs
@@ -1,5 +1,7 @@
 //! The VM process: serves callers, peers and operators under a settings file.
 
+mod gateway;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -26,6 +28,18 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Serves routes by host name from a register of backend servers, until SIGTERM
+    Gateway {
+        /// YAML file with the VM's settings
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// Checks the settings file of a gateway
+    CheckGateway {
+        /// YAML file with the VM's settings
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Checks a settings file
     Check {
         /// YAML file with the VM's settings
@@ -37,6 +51,10 @@
 fn main() -> ExitCode {
     let exit = match Cli::parse().command {
         Command::Check { settings } => load(&settings).map_or_else(|exit| exit, |_| Exit::Done),
+        Command::Gateway { settings } => {
+            gateway::load(&settings).map_or_else(|exit| exit, |it| gateway::run(&settings, it))
+        }
+        Command::CheckGateway { settings } => gateway::load(&settings).map_or_else(|exit| exit, |_| Exit::Done),
         Command::Run { settings } => load(&settings).map_or_else(|exit| exit, run),
     };
     exit.into()
