Refuse a request only for the wait, not for an unproven work time

Cause: probes on routes that were added got 503, since a new route's work without the object was taken as 1.5 times its latency target, which can exceed the route's timeout.

Change: the refusal compares the wait plus the time with the object; the choice between servers still counts the work.

Ruled out: a missing server or plan; the log shows code 2002 with servers idle.

--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -174,7 +174,9 @@
         // Requests wait until one of the slots is free; each of those ahead takes its turn on one of them.
         let wait = (busy + 1.0 - slots).max(0.0) / slots * warm_work;
         let path = track.path_us() as f64;
-        let finish = wait + work + path;
+        // The work is uncertain until a route was observed for a while; the wait is not. A request is refused only if
+        // even a server that holds the object would answer too late.
+        let finish = wait + warm_work / slowness.max(1.0) + path;
         let cost_work = warm_work + (work - warm_work) * WARMING_COST;
         let late = (wait + cost_work + path - ask.work.target_us() as f64).max(0.0);
         // Ties between idle servers go by weight, so that VMs agree on the second choice as well.
