Keep each object on at most two servers

Cold work lengthened the queues, and long queues spread the objects further.

Ruled out: too few servers.

Change: a request about an object is placed on the first two servers of its order that take requests, else refused.

--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::rendezvous::weight;
@@ -10,6 +11,10 @@
 use crate::ServerSpec;
 use crate::clock::{Clock, Micros, micros};
 
+/// Servers that hold an object at a time. A server keeps a few dozen objects; if a busy service spread each object over
+/// all servers, none would hold any of them, and the service would answer several times slower just when it is full.
+const MAX_SPREAD: usize = 2;
+
 /// Part of the time lost on a server without the object that counts against it; the rest is the investment that makes
 /// the server a second choice for the next requests.
 const WARMING_COST: f64 = 0.6;
@@ -43,6 +48,14 @@
     track: Arc<Track>,
 }
 
+/// A server that may get a request.
+#[derive(Clone, Copy)]
+struct Candidate {
+    index: usize,
+    weight: u64,
+    is_first: bool,
+}
+
 /// A server's forecast for one request, in microseconds.
 #[derive(Clone, Copy)]
 struct Forecast {
@@ -103,28 +116,18 @@
         let object = ask.object.unwrap_or(rnd);
         let mut best: Option<Forecast> = None;
         let mut soonest: Option<u64> = None;
-        let first = ask.object.and_then(|object| self.first_choice(object, ask));
-        for (index, server) in self.servers.iter().enumerate() {
-            if !is_eligible(server, ask) || !server.track.is_open(at) {
-                continue;
-            }
-            let forecast = self.forecast(index, first == Some(index), object, ask, at);
+        for candidate in self.candidates(object, ask, at) {
+            let forecast = self.forecast(candidate, object, ask, at);
             if forecast.finish_us > micros(ask.left) {
                 soonest = Some(soonest.map_or(forecast.finish_us, |s| s.min(forecast.finish_us)));
-                continue;
-            }
-            if !server.track.cold.has_room(at) {
-                soonest = Some(soonest.unwrap_or(u64::MAX).min(micros(ask.left) + self.cold_gap));
-                continue;
-            }
-            if best.is_none_or(|best| forecast.cost < best.cost) {
+            } else if best.is_none_or(|best| forecast.cost < best.cost) {
                 best = Some(forecast);
             }
         }
         let chosen = best.filter(|best| self.servers[best.index].track.cold.take(at, self.cold_gap));
         match (chosen, soonest) {
             (Some(forecast), _) => Ok(self.placed(&forecast, ask, at)),
-            (None, None) if best.is_none() => Err(Refused::Unavailable),
+            (None, None) if !self.has_cold(ask, at) => Err(Refused::Unavailable),
             (None, soonest) => {
                 let excess = soonest.unwrap_or(0).saturating_sub(micros(ask.left));
                 Err(Refused::Full {
@@ -151,17 +154,52 @@
         }
     }
 
-    /// The server that other VMs send the object to as well. It does not depend on what this VM observed, so that the
-    /// VMs agree on it; the state of the service is the same for all of them.
-    fn first_choice(&self, object: u64, ask: &ObjectAsk<'_>) -> Option<usize> {
-        let eligible = |(_, server): &(usize, &Server)| !server.leaving && allows(server, ask);
-        let servers = self.servers.iter().enumerate().filter(eligible);
-        servers
-            .max_by_key(|(_, server)| weight(object, &server.spec.name))
-            .map(|(index, _)| index)
+    /// The servers that may get the request, first choice first. A request about an object goes to the first
+    /// [`MAX_SPREAD`] of its order that take requests now; others go to any.
+    fn candidates(&self, object: u64, ask: &ObjectAsk<'_>, at: Micros) -> SmallVec<[Candidate; 16]> {
+        let mut out: SmallVec<[Candidate; 16]> = SmallVec::new();
+        let mut first = 0;
+        for (index, server) in self.servers.iter().enumerate() {
+            if server.leaving || !allows(server, ask) {
+                continue;
+            }
+            let weight = weight(object, &server.spec.name);
+            // Every VM finds the same first choice, whatever it observed itself.
+            first = first.max(weight);
+            let is_tried = ask.exclude.contains(&server.spec.name);
+            if !is_tried && server.track.is_open(at) && server.track.cold.has_room(at) {
+                out.push(Candidate {
+                    index,
+                    weight,
+                    is_first: false,
+                });
+            }
+        }
+        if ask.object.is_some() {
+            out.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.weight));
+            out.truncate(MAX_SPREAD);
+        }
+        for candidate in &mut out {
+            candidate.is_first = candidate.weight == first;
+        }
+        out
+    }
+
+    /// Whether a cold server that has no room now is all that keeps a request back.
+    fn has_cold(&self, ask: &ObjectAsk<'_>, at: Micros) -> bool {
+        let may_serve = |server: &&Server| !server.leaving && allows(server, ask) && server.track.is_open(at);
+        self.servers
+            .iter()
+            .filter(may_serve)
+            .any(|server| server.track.cold.is_cold(at))
     }
 
-    fn forecast(&self, index: usize, is_first: bool, object: u64, ask: &ObjectAsk<'_>, at: Micros) -> Forecast {
+    fn forecast(&self, candidate: Candidate, object: u64, ask: &ObjectAsk<'_>, at: Micros) -> Forecast {
+        let Candidate {
+            index,
+            is_first,
+            weight,
+        } = candidate;
         let server = &self.servers[index];
         let track = &server.track;
         let holds = track.recent.holds(object, at) || (is_first && !track.cold.is_cold(at));
@@ -180,7 +218,7 @@
         let cost_work = warm_work + (work - warm_work) * WARMING_COST;
         let late = (wait + cost_work + path - ask.work.target_us() as f64).max(0.0);
         // Ties between idle servers go by weight, so that VMs agree on the second choice as well.
-        let tie = (weight(object, &server.spec.name) >> 40) as f64 / (1 << 24) as f64;
+        let tie = (weight >> 40) as f64 / f64::from(1 << 24);
         let cost = (wait + cost_work + path + late * LATE_COST) * (1.0 + ERROR_COST * track.error_rate(at))
             + (1.0 - tie) * 0.02 * warm_work;
         Forecast {
@@ -231,7 +269,3 @@
 fn allows(server: &Server, ask: &ObjectAsk<'_>) -> bool {
     (ask.regions.is_empty() || ask.regions.contains(&server.spec.region)) && ask.versions.allow(&server.spec.version)
 }
-
-fn is_eligible(server: &Server, ask: &ObjectAsk<'_>) -> bool {
-    !server.leaving && allows(server, ask) && !ask.exclude.contains(&server.spec.name)
-}
