Hold back versions without an order, and lapsed entries no longer than promised

Under overload both versions time out, which hid the errors of the bad one.

Change: the hold after an outage counts from the start of the last failed read. A version that is new to a service is used without an order only if the settings are told, or if no other version is left. Errors are compared apart from time-outs.

--- a/crates/mh_edge/src/connections.rs
+++ b/crates/mh_edge/src/connections.rs
@@ -141,7 +141,7 @@
 
 /// Whether the server sent bytes that answer no request, rather than closing or resetting the connection.
 fn is_stray(e: &hyper::Error) -> bool {
-    let is_io = std::error::Error::source(e).is_some_and(|source| source.is::<std::io::Error>());
+    let is_io = std::error::Error::source(e).is_some_and(<dyn std::error::Error>::is::<std::io::Error>);
     !is_io && !e.is_canceled() && !e.is_closed() && !e.is_incomplete_message()
 }
 
--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -24,8 +24,10 @@
     let mut held: Option<u64> = None;
     let mut backoff = MIN_BACKOFF;
     let mut lost_at: Option<Instant> = None;
+    let mut failed_from = Instant::now();
     loop {
         let epoch = node.epoch();
+        let started = Instant::now();
         let read = async {
             match held {
                 Some(version) => node.source.changes(feed, version, WAIT).await,
@@ -51,9 +53,7 @@
                 }
                 if let Some(at) = lost_at.take() {
                     emit!(Event::FeedBack, feed = feed, after_ms = at.elapsed().as_millis());
-                    if feed == Feed::Servers && at.elapsed() > LAPSE {
-                        lock(&node.world).on_feed_back(now);
-                    }
+                    lock(&node.world).on_feed_back(feed, failed_from, at.elapsed() > LAPSE);
                 }
                 backoff = MIN_BACKOFF;
                 held = Some(batch.version);
@@ -67,7 +67,9 @@
                 held = None;
             }
             Err(e) => {
+                failed_from = started;
                 if lost_at.is_none() {
+                    lock(&node.world).on_feed_lost(feed);
                     emit!(
                         Event::FeedLost,
                         feed = feed,
--- a/crates/mh_gateway/src/control/world.rs
+++ b/crates/mh_gateway/src/control/world.rs
@@ -27,6 +27,8 @@
     versions: HashMap<ServiceName, HashSet<VersionName>>,
     /// Feeds that were read at least once.
     read: HashSet<Feed>,
+    /// Feeds whose changes are not told at present.
+    lost: HashSet<Feed>,
     /// Until when a removed entry may return, after an outage of the source.
     entries_return_by: Option<Instant>,
     pub(super) orders: HashMap<ServiceName, ShiftOrder>,
@@ -49,6 +51,7 @@
             quotas: HashMap::new(),
             versions: HashMap::new(),
             read: HashSet::new(),
+            lost: HashSet::new(),
             entries_return_by: None,
             orders: HashMap::new(),
             records: HashMap::new(),
@@ -75,10 +78,18 @@
         }
     }
 
-    /// Records that changes are told again after an outage of the source, in which entries of live servers may have
-    /// lapsed.
-    pub fn on_feed_back(&mut self, now: Instant) {
-        self.entries_return_by = Some(now + self.bounds.entry_return);
+    /// Records that changes of `feed` are no longer told.
+    pub fn on_feed_lost(&mut self, feed: Feed) {
+        self.lost.insert(feed);
+    }
+
+    /// Records that changes of `feed` are told again. `down_until` is the latest time at which they were known not to
+    /// be; entries of live servers may have lapsed if that took long.
+    pub fn on_feed_back(&mut self, feed: Feed, down_until: Instant, was_long: bool) {
+        self.lost.remove(&feed);
+        if feed == Feed::Servers && was_long {
+            self.entries_return_by = Some(down_until + self.bounds.entry_return);
+        }
     }
 
     /// The store's clock now; `None` before the first read.
@@ -170,11 +181,7 @@
             let Some(region) = self.regions.get(&entry.domain) else {
                 continue;
             };
-            let is_ordered = self
-                .orders
-                .get(&entry.service)
-                .is_some_and(|order| order.to == entry.version);
-            if now < server.version_open_at && !is_ordered {
+            if !self.is_version_open(server, now) {
                 continue;
             }
             out.entry(entry.service.clone()).or_default().push(Listed {
@@ -195,6 +202,25 @@
         out
     }
 
+    /// Whether servers of this version may be used. A version that is new to its service waits for its order; without
+    /// one it is used once the settings were told for a while, or when no other version is left.
+    fn is_version_open(&self, server: &KnownServer, now: Instant) -> bool {
+        let entry = &server.entry;
+        let order = self.orders.get(&entry.service);
+        let is_ordered = order.is_some_and(|order| order.to == entry.version);
+        let is_told = !self.lost.contains(&Feed::Settings) && now >= server.version_open_at;
+        let others_serve = || {
+            let servers = self
+                .servers
+                .values()
+                .filter(|other| other.entry.service == entry.service);
+            servers
+                .filter(|other| other.entry.version != entry.version)
+                .any(|other| !other.entry.leaving && other.is_established)
+        };
+        server.is_established || is_ordered || is_told || !others_serve()
+    }
+
     /// Removes what a whole read of `feed` does not name.
     fn drop_missing(&mut self, feed: Feed, batch: &Batch, now: Instant) {
         match feed {
--- a/crates/mh_gateway/src/request/attempt.rs
+++ b/crates/mh_gateway/src/request/attempt.rs
@@ -33,6 +33,10 @@
     }
 }
 
+#[expect(
+    clippy::unused_self,
+    reason = "consuming the earlier state is the point of the typestate"
+)]
 impl Attempt<Unsent> {
     pub(super) fn new() -> Self {
         Self(PhantomData)
@@ -48,6 +52,10 @@
     }
 }
 
+#[expect(
+    clippy::unused_self,
+    reason = "consuming the earlier state is the point of the typestate"
+)]
 impl Attempt<Sent> {
     /// The connection handed the message back, which shows that no byte of it was written.
     pub(super) fn handed_back<T>(self, _message: &T) -> Attempt<Unsent> {
--- a/crates/mh_gateway/src/request/cx.rs
+++ b/crates/mh_gateway/src/request/cx.rs
@@ -53,6 +53,11 @@
         self.deadline.min(self.timeout + ANSWER_GRACE)
     }
 
+    /// Short form of the object's hash for log lines; zero without an object.
+    pub(super) fn object_tag(&self) -> u32 {
+        (self.object.unwrap_or_default() >> 32) as u32
+    }
+
     pub(super) fn elapsed_ms(&self) -> u64 {
         self.arrived.elapsed().as_millis() as u64
     }
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -7,7 +7,7 @@
 use mh_edge::{ANY_AGE, AnswerBody, Connection, Upload, strip_hop_by_hop};
 use mh_route::Outcome;
 use mh_route::objects::Placed;
-use mh_shift::CanarySample;
+use mh_shift::{CanaryFault, CanarySample};
 use mh_types::{Code, Event, emit};
 use tokio::time::Instant;
 
@@ -209,6 +209,7 @@
         Event::RequestAnswered,
         request = cx.id,
         route = cx.route.name,
+        object = cx.object_tag(),
         revision = cx.revision,
         server = placed.spec().name,
         warm = placed.is_warm(),
@@ -251,6 +252,7 @@
         Event::AttemptFailed,
         request = cx.id,
         route = cx.route.name,
+        object = cx.object_tag(),
         server = placed.spec().name,
         warm = placed.is_warm(),
         forecast_ms = placed.forecast().as_millis(),
@@ -267,25 +269,27 @@
 fn observe(cx: &Cx, placed: &Placed, outcome: Outcome) {
     let Some(shift) = &cx.shift else { return };
     let Some(canary) = &shift.canary else { return };
-    let (is_bad, time_ratio) = match outcome {
-        Outcome::Answered { status, latency } => {
+    let (fault, time_ratio) = match outcome {
+        // A server that stops at the time it was given answers 504.
+        Outcome::Answered { status: 504, .. } | Outcome::TimedOut => (Some(CanaryFault::TimedOut), None),
+        Outcome::Answered { status, .. } if status >= 500 => (Some(CanaryFault::Error), None),
+        Outcome::Answered { latency, .. } => {
             let forecast = placed.forecast().as_secs_f64().max(0.001);
-            (status >= 500, Some(latency.as_secs_f64() / forecast))
+            (None, Some(latency.as_secs_f64() / forecast))
         }
-        Outcome::Failed | Outcome::TimedOut => (true, None),
+        Outcome::Failed => (Some(CanaryFault::Error), None),
         Outcome::Shed | Outcome::Closing | Outcome::Cancelled => return,
     };
     // A cold server is slow whatever version it runs.
     if placed.is_cold() {
         return;
     }
-    let is_new = placed.spec().version == shift.to;
     canary.observe(
         &cx.route.name,
         CanarySample {
-            is_new,
-            is_bad,
-            time_ratio: time_ratio.filter(|_| !is_bad),
+            is_new: placed.spec().version == shift.to,
+            fault,
+            time_ratio,
         },
     );
 }
--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -144,6 +144,7 @@
                 Event::NoServerChosen,
                 request = cx.id,
                 route = cx.route.name,
+                object = cx.object_tag(),
                 service = cx.service,
                 revision = cx.revision,
                 left_ms = cx.left().as_millis(),
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -181,7 +181,7 @@
         let mut cx = self.context(&live, plan, route, org, (id, id_header), arrived)?;
         cx.deadline = deadline;
         cx.object = object_of(&parts.headers, &self.headers).filter(|_| cx.route.sticky);
-        self.admit(&live, &cx)?;
+        admit(&live, &cx)?;
         let mut body = Body::read(incoming, cx.max_body_bytes).await?;
         let head = head(parts, &self.headers, cx.org.as_ref().map(|org| org.name.as_str()));
         let result = forward(&cx, &head, &mut body, &self.counters).await;
@@ -232,22 +232,22 @@
             org,
         })
     }
+}
 
-    /// Takes one request from this VM's share of the organisation's quota.
-    fn admit(&self, live: &Live, cx: &Cx) -> Result<(), Refusal> {
-        let Some(org) = &cx.org else { return Ok(()) };
-        let Some(meter) = live.quotas.get(&org.name) else {
-            return Ok(());
-        };
-        if meter.try_take_with(Instant::now, 1) {
-            return Ok(());
-        }
-        let per_request = 1.0 / (org.rate_per_s / live.vms.len().max(1) as f64).max(0.1);
-        Err(refusal_with_wait(
-            Code::RateExceeded,
-            Duration::from_secs_f64(per_request),
-        ))
+/// Takes one request from this VM's share of the organisation's quota.
+fn admit(live: &Live, cx: &Cx) -> Result<(), Refusal> {
+    let Some(org) = &cx.org else { return Ok(()) };
+    let Some(meter) = live.quotas.get(&org.name) else {
+        return Ok(());
+    };
+    if meter.try_take_with(Instant::now, 1) {
+        return Ok(());
     }
+    let per_request = 1.0 / (org.rate_per_s / live.vms.len().max(1) as f64).max(0.1);
+    Err(refusal_with_wait(
+        Code::RateExceeded,
+        Duration::from_secs_f64(per_request),
+    ))
 }
 
 fn not_run(code: Code) -> Refusal {
--- a/crates/mh_shift/src/canary.rs
+++ b/crates/mh_shift/src/canary.rs
@@ -17,7 +17,7 @@
 use mh_types::RouteName;
 
 pub use limits::CanaryLimits;
-pub use sample::CanarySample;
+pub use sample::{CanaryFault, CanarySample};
 pub use verdict::Verdict;
 
 use tally::Tally;
@@ -98,9 +98,12 @@
     fn fault(&self, sides: &Sides) -> Option<Verdict> {
         let limits = &self.limits;
         let (new, old) = (&sides.new, &sides.old);
-        let failing = new.bad() >= limits.min_bad
-            && new.bad_rate() >= limits.bad_rate
-            && new.bad_rate() >= old.bad_rate() * limits.bad_ratio;
+        // Overload makes both versions time out, which would hide the errors of the new one in a common count.
+        let failing = [(new.errors(), old.errors()), (new.bad(), old.bad())];
+        let failing = failing.into_iter().any(|(new_bad, old_bad)| {
+            let rate = new.rate(new_bad);
+            new_bad >= limits.min_bad && rate >= limits.bad_rate && rate >= old.rate(old_bad) * limits.bad_ratio
+        });
         if failing {
             return Some(Verdict::Failing);
         }
--- a/crates/mh_shift/src/canary/tally.rs
+++ b/crates/mh_shift/src/canary/tally.rs
@@ -1,10 +1,11 @@
-use super::CanarySample;
+use super::{CanaryFault, CanarySample};
 
 /// Counted answers of one side.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Tally {
     count: u32,
-    bad: u32,
+    errors: u32,
+    timeouts: u32,
     timed: u32,
     ratio_sum: f64,
 }
@@ -12,7 +13,11 @@
 impl Tally {
     pub(crate) fn add(&mut self, sample: &CanarySample) {
         self.count += 1;
-        self.bad += u32::from(sample.is_bad);
+        match sample.fault {
+            Some(CanaryFault::Error) => self.errors += 1,
+            Some(CanaryFault::TimedOut) => self.timeouts += 1,
+            None => {}
+        }
         if let Some(ratio) = sample.time_ratio {
             self.timed += 1;
             self.ratio_sum += ratio;
@@ -21,7 +26,8 @@
 
     pub(crate) fn merge(&mut self, other: &Self) {
         self.count += other.count;
-        self.bad += other.bad;
+        self.errors += other.errors;
+        self.timeouts += other.timeouts;
         self.timed += other.timed;
         self.ratio_sum += other.ratio_sum;
     }
@@ -30,16 +36,22 @@
         self.count
     }
 
+    pub(crate) fn errors(&self) -> u32 {
+        self.errors
+    }
+
+    /// Errors and time-outs.
     pub(crate) fn bad(&self) -> u32 {
-        self.bad
+        self.errors + self.timeouts
     }
 
-    pub(crate) fn timed(&self) -> u32 {
-        self.timed
+    /// `bad` of the answers as a part of all.
+    pub(crate) fn rate(&self, bad: u32) -> f64 {
+        f64::from(bad) / f64::from(self.count.max(1))
     }
 
-    pub(crate) fn bad_rate(&self) -> f64 {
-        f64::from(self.bad) / f64::from(self.count.max(1))
+    pub(crate) fn timed(&self) -> u32 {
+        self.timed
     }
 
     pub(crate) fn mean_ratio(&self) -> f64 {
--- a/crates/mh_shift/src/lib.rs
+++ b/crates/mh_shift/src/lib.rs
@@ -80,7 +80,7 @@
 mod write_id;
 mod writer;
 
-pub use canary::{Canary, CanaryLimits, CanarySample, Verdict};
+pub use canary::{Canary, CanaryFault, CanaryLimits, CanarySample, Verdict};
 pub use decision::Decision;
 pub use end::End;
 pub use end_row::EndRow;
