Lend unused shares of quotas between VMs

Cause: each VM held an even part of each quota. A fleet of 85 VMs leaves a VM with about one request a second of an organisation's 99, so bursts at one VM are refused while others have room; parts of VMs that are down lie idle.

Change: mh_budget's holders are bound to the gateway. The list of VMs says who owns which slots, messages go by UDP with the membership, and a request at a VM without tokens asks one that has some.

--- a/crates/mh_budget/src/holder/publish.rs
+++ b/crates/mh_budget/src/holder/publish.rs
@@ -46,10 +46,12 @@
             self.limiter.set_fallback(fallback);
             return;
         }
-        if self.demand.is_idle() && self.borrowed.is_empty() && self.lent.is_empty() {
+        let old = self.limiter.fallback();
+        // Without this, the first requests at a VM that owns nothing would be refused although others have tokens.
+        let knows_whom = !matches!(*old, Fallback::Nobody);
+        if knows_whom && self.demand.is_idle() && self.borrowed.is_empty() && self.lent.is_empty() {
             return;
         }
-        let old = self.limiter.fallback();
         let mut targets = self.reported_targets(now);
         if let Fallback::Peers(old) = &*old {
             for target in old.iter().filter(|target| target.credit() > 0) {
--- a/crates/mh_budget/tests/holder.rs
+++ b/crates/mh_budget/tests/holder.rs
@@ -281,3 +281,25 @@
         }
     }
 }
+
+/// Guards against refusing the first requests at a VM that owns no slots, although other VMs have tokens.
+#[test]
+fn the_first_request_at_a_vm_without_slots_asks_an_owner() {
+    let now = Instant::now();
+    let me = Arc::new(Me {
+        vm: "b".into(),
+        domain: "d".into(),
+        incarnation: Incarnation(1),
+    });
+    let budget = Arc::new(Budget::new("org/coop".into(), 20.0, 20.0).unwrap());
+    let mut holder = Holder::new(now, me, budget, Arc::new(LendingSettings::default()), 1, 0);
+    let owner = Owner {
+        vm: "a".into(),
+        domain: "d".into(),
+    };
+    holder.set_owners(now, Arc::new([owner].into_iter().collect()));
+
+    let decision = holder.limiter().decide(|| now, 1);
+
+    assert_eq!(decision, Decision::Ask("a".into()));
+}
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -1,12 +1,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mh_member::{List, ListVm, Msg, State};
+use mh_member::{List, ListVm, State};
 use mh_types::{Event, RegionName, VmName, emit};
 use std::net::SocketAddr;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::shift_write::run_shifts;
+use super::{Datagram, QuotaDesk};
 use crate::Feed;
 use crate::node::{GatewayNode, lock};
 use crate::pause::BootClock;
@@ -17,50 +18,69 @@
 /// Largest message of another VM, in bytes.
 const MAX_DATAGRAM: usize = 2048;
 
-/// Time between two renewals of the shares of quotas, which lapse after 15 s.
-const RENEW_EVERY: Duration = Duration::from_secs(5);
-
 /// Exchanges heartbeats with other VMs and acts on what changes with time.
 pub(crate) async fn run_members(node: Arc<GatewayNode>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; MAX_DATAGRAM];
     let mut boot = BootClock::start();
-    let mut renew_at = Instant::now() + RENEW_EVERY;
+    let mut last_tick = Instant::now();
     loop {
-        let out = tokio::select! {
+        tokio::select! {
             received = node.receive(&mut buf) => {
                 let Ok(len) = received else { continue };
-                let Ok((from, msg)) = postcard::from_bytes::<(VmName, Msg)>(&buf[..len]) else {
-                    emit!(Event::PeerMessageInvalid, bytes = len);
-                    continue;
-                };
-                lock(&node.members).on_msg(Instant::now(), &from, msg)
+                match postcard::from_bytes::<(VmName, Datagram)>(&buf[..len]) {
+                    Ok((from, datagram)) => take(&node, &from, datagram),
+                    Err(e) => emit!(Event::PeerMessageInvalid, bytes = len, error = e),
+                }
             }
             _ = ticks.tick() => {
                 let now = Instant::now();
-                if let Some(time) = boot.suspended() {
+                let suspended = boot.suspended();
+                let stalled = Some(now - last_tick).filter(|gap| *gap >= QuotaDesk::pause_limit());
+                if let Some(time) = suspended.or(stalled) {
                     emit!(Event::Suspended, for_ms = time.as_millis());
                     node.start_epoch();
                 }
-                tick(&node, now, &mut renew_at);
-                lock(&node.members).on_tick(now, rand::random())
+                last_tick = now;
+                tick(&node, now);
             }
-        };
-        node.send(out);
+        }
     }
 }
 
-fn tick(node: &Arc<GatewayNode>, now: Instant, renew_at: &mut Instant) {
-    let (alive, vms) = update_members(node, now);
-    let mut changed = run_shifts(node, &alive, vms, now);
-    if now >= *renew_at {
-        *renew_at = now + RENEW_EVERY;
-        changed = true;
+/// Takes in a datagram of another VM.
+fn take(node: &GatewayNode, from: &VmName, datagram: Datagram) {
+    let now = Instant::now();
+    match datagram {
+        Datagram::Member(msg) => {
+            let out = lock(&node.members).on_msg(now, from, msg);
+            node.send(out);
+        }
+        Datagram::Lend(msgs) => {
+            let out = lock(&node.quotas).on_msgs(from, &msgs, now);
+            node.send_lending(out);
+        }
+        Datagram::Take { number, org } => {
+            let answer = lock(&node.quotas).take(&org);
+            if let (Some(answer), Some(addr)) = (answer, node.peer_addr(from)) {
+                node.send_to(addr, &Datagram::Taken { number, answer });
+            }
+        }
+        Datagram::Taken { number, answer } => node.on_taken(number, answer),
     }
+}
+
+fn tick(node: &Arc<GatewayNode>, now: Instant) {
+    let (alive, vms) = update_members(node, now);
+    let changed = run_shifts(node, &alive, vms, now);
     if node.time_has_come(now) || changed {
         node.rebuild(now);
     }
+    let out = lock(&node.members).on_tick(now, rand::random());
+    node.send(out);
+    let out = lock(&node.quotas).on_tick(now);
+    node.send_lending(out);
 }
 
 /// Tells the membership protocol what is listed and takes its view; returns the VMs that are alive and the number that
--- a/crates/mh_gateway/src/control/world.rs
+++ b/crates/mh_gateway/src/control/world.rs
@@ -4,14 +4,13 @@
 
 use mh_route::ServerSpec;
 use mh_route::objects::{Listed, WorkTimes};
-use mh_types::{DomainName, Event, OrgName, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
+use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
 use tokio::time::Instant;
 
 use super::known_server::KnownServer;
 use super::shift_desk::ShiftDesk;
 use crate::{
-    AnnouncedVm, Batch, Bounds, Feed, Live, Plan, Quota, RegisteredServer, ServiceBackends, ShiftOrder, ShiftRecord,
-    Update,
+    AnnouncedVm, Batch, Bounds, Feed, Live, Plan, RegisteredServer, ServiceBackends, ShiftOrder, ShiftRecord, Update,
 };
 
 /// What this VM believes about the deployment, from the source.
@@ -23,7 +22,6 @@
     servers: BTreeMap<ServerName, KnownServer>,
     drained: HashSet<DomainName>,
     vms: BTreeMap<VmName, AnnouncedVm>,
-    quotas: HashMap<OrgName, Quota>,
     versions: HashMap<ServiceName, HashSet<VersionName>>,
     /// Feeds that were read at least once.
     read: HashSet<Feed>,
@@ -34,6 +32,8 @@
     pub(super) orders: HashMap<ServiceName, ShiftOrder>,
     pub(super) records: HashMap<ServiceName, ShiftRecord>,
     pub(super) desk: ShiftDesk,
+    /// When the last whole read of the list of VMs began.
+    vms_read_at: Option<Instant>,
     /// The store's clock at a moment of this VM's.
     clock: Option<(Duration, Instant)>,
 }
@@ -48,7 +48,6 @@
             servers: BTreeMap::new(),
             drained: HashSet::new(),
             vms: BTreeMap::new(),
-            quotas: HashMap::new(),
             versions: HashMap::new(),
             read: HashSet::new(),
             lost: HashSet::new(),
@@ -56,6 +55,7 @@
             orders: HashMap::new(),
             records: HashMap::new(),
             desk: ShiftDesk::default(),
+            vms_read_at: None,
             clock: None,
         }
     }
@@ -71,6 +71,9 @@
         self.clock = Some((batch.clock, now));
         if is_whole {
             self.drop_missing(feed, batch, now);
+            if feed == Feed::Vms {
+                self.vms_read_at = Some(now);
+            }
         }
         self.read.insert(feed);
         for update in &batch.updates {
@@ -103,6 +106,16 @@
         self.vms.values()
     }
 
+    /// When the list of VMs was last read as a whole; `None` before that.
+    pub fn vms_read_at(&self) -> Option<Instant> {
+        self.vms_read_at
+    }
+
+    /// The plan in force.
+    pub fn plan(&self) -> Option<&Arc<Plan>> {
+        self.plan.as_ref()
+    }
+
     /// Whether the feed was read.
     pub fn has_read(&self, feed: Feed) -> bool {
         self.read.contains(&feed)
@@ -131,17 +144,6 @@
         let Some(plan) = self.plan.clone() else {
             return Live::default();
         };
-        self.quotas.retain(|name, _| plan.orgs.contains_key(name));
-        for org in plan.orgs.values() {
-            if org.rate_per_s > 0.0 {
-                let quota = self.quotas.entry(org.name.clone());
-                quota
-                    .and_modify(|quota| quota.set(org, vms, now))
-                    .or_insert_with(|| Quota::new(org, vms, now));
-            } else {
-                self.quotas.remove(&org.name);
-            }
-        }
         let mut listed = self.listed(now);
         let backends = plan.services.values().map(|service| {
             let servers = listed.remove(&service.name).unwrap_or_default();
@@ -156,17 +158,11 @@
             (route.name.clone(), times)
         });
         let work = work.collect();
-        let is_known = [Feed::Settings, Feed::Servers, Feed::Shifts]
-            .iter()
-            .all(|feed| self.read.contains(feed));
+        let is_known = Feed::ALL.iter().all(|feed| self.read.contains(feed));
         Live {
             backends,
             work,
-            quotas: self
-                .quotas
-                .iter()
-                .map(|(name, quota)| (name.clone(), quota.meter().clone()))
-                .collect(),
+            quotas: previous.quotas.clone(),
             shifts: self.desk.active(&self.orders, &self.records),
             vms: previous.vms.clone(),
             ready: is_known,
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -5,8 +5,8 @@
 //! loops replace it as a whole when the source tells a change. A request passes these steps: route, key, quota, choice
 //! of the backend server, sending, and the check of the answer.
 //!
-//! What VMs share over a fleet is divided by the number of VMs, so that no request waits for another VM: quotas, the
-//! retry budget and the pace of cold servers.
+//! What VMs share over a fleet is divided beforehand, so that few requests wait for another VM. The retry budget and the
+//! pace of cold servers are divided by the number of VMs; shares of quotas are lent to the VMs that need them.
 //!
 //! ```
 //! use mh_gateway::{Bounds, Gateway, HeaderNames, Live};
@@ -25,7 +25,7 @@
 mod node;
 mod pause;
 mod plan;
-mod quota;
+mod quota_peers;
 mod request;
 mod service_backends;
 mod settings;
@@ -42,7 +42,7 @@
 pub use node::{GatewayNode, Stopped, run_until_signal};
 pub use pause::BootClock;
 pub use plan::{CallerLimits, HostRoute, Plan, PlanOrg, PlanService, Target};
-pub use quota::Quota;
+pub use quota_peers::QuotaPeers;
 pub use request::{Counters, Gateway};
 pub use service_backends::ServiceBackends;
 pub use settings::{GatewayListen, GatewaySettings, PromiseSettings};
--- a/crates/mh_gateway/src/live.rs
+++ b/crates/mh_gateway/src/live.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use mh_budget::Meter;
+use mh_budget::Limiter;
 use mh_route::objects::WorkTimes;
 use mh_shift::Canary;
 use mh_types::{OrgName, RegionName, RouteName, ServiceName, VersionName};
@@ -17,7 +17,7 @@
     /// Backend servers by service.
     pub backends: HashMap<ServiceName, Arc<ServiceBackends>>,
     /// This VM's shares of the quotas.
-    pub quotas: HashMap<OrgName, Meter>,
+    pub quotas: HashMap<OrgName, Limiter>,
     /// Observed work times by route.
     pub work: HashMap<RouteName, Arc<WorkTimes>>,
     /// Shifts by service.
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -1,26 +1,35 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::time::Duration;
 
 use mh_admin::Metrics;
+use mh_budget::{Answer, Me, Msg, Outgoing};
 use mh_edge::Server;
 use mh_member::{Config, List, Members, Outbox};
-use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VmName, emit};
+use mh_platform::BoxFuture;
+use mh_types::{Code, Event, Incarnation, OrgName, RegionName, ServiceName, VmName, emit};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 use super::ports;
-use crate::control::{World, announce, follow, run_members};
+use crate::control::{Datagram, QuotaDesk, World, announce, follow, run_members};
 use crate::{
-    AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, ShiftRecord, Source, Update,
+    AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftRecord, Source,
+    Update,
 };
 
 /// Time between two tries to write one shift's record.
 const SHIFT_WRITE_GAP: Duration = Duration::from_millis(500);
 
+/// Longest wait for a VM that is asked to take a request from its share: a round trip between regions and some room.
+const TAKE_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// Messages of the lending in one datagram; about 100 bytes each, they stay below the usual packet size.
+const MSGS_PER_DATAGRAM: usize = 10;
+
 /// Part of the listed VMs that must be alive for the dead ones to stop counting. With fewer this VM is rather cut off
 /// itself, and the others go on using their shares.
 const QUORUM_PART: f64 = 0.5;
@@ -34,6 +43,9 @@
     pub(crate) source: Arc<dyn Source>,
     pub(crate) world: Mutex<World>,
     pub(crate) members: Mutex<Members>,
+    pub(crate) quotas: Mutex<QuotaDesk>,
+    takes: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    take_number: AtomicU64,
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
     list: Mutex<List>,
@@ -49,6 +61,16 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Way of requests to the other VMs' shares.
+#[derive(Debug)]
+struct Peers(Weak<GatewayNode>);
+
+impl QuotaPeers for Peers {
+    fn ask<'a>(&'a self, vm: &'a VmName, org: &'a OrgName) -> BoxFuture<'a, Option<Answer>> {
+        Box::pin(async move { self.0.upgrade()?.ask_quota(vm, org).await })
+    }
+}
+
 impl GatewayNode {
     /// Binds the ports and starts the control loops.
     ///
@@ -75,12 +97,21 @@
             .await
             .map_err(bind_failed(listen.lookups))?;
         let peers = UdpSocket::bind(listen.peers).await.map_err(bind_failed(listen.peers))?;
+        let incarnation = Incarnation(jiff::Timestamp::now().as_microsecond().unsigned_abs());
+        let me = Me {
+            vm: cfg.vm.clone(),
+            domain: cfg.domain.clone(),
+            incarnation,
+        };
         let node = Arc::new(Self {
             gateway: Arc::new(Gateway::new(cfg.vm.clone(), headers, bounds)),
             interface,
             source,
             world: Mutex::new(World::new(regions, bounds)),
-            members: Mutex::new(members(&cfg, &bounds)),
+            members: Mutex::new(members(&cfg, &bounds, incarnation)),
+            quotas: Mutex::new(QuotaDesk::new(me, Instant::now())),
+            takes: Mutex::default(),
+            take_number: AtomicU64::new(0),
             socket: peers,
             metrics: OnceLock::new(),
             list: Mutex::default(),
@@ -91,6 +122,7 @@
             rebuilds: AtomicU64::new(0),
             cfg,
         });
+        node.gateway.connect(Arc::new(Peers(Arc::downgrade(&node))));
         let metrics = super::metrics::metrics(&node).map_err(|e| (Code::Internal, e.to_string()))?;
         let _ = node.metrics.set(metrics);
         emit!(
@@ -135,16 +167,66 @@
         self.socket.recv_from(buf).await.map(|(len, _)| len)
     }
 
-    /// Sends messages to other VMs; a lost one is made up for by later ones.
+    /// Sends a datagram to another VM; a lost one is made up for by later ones.
+    pub(crate) fn send_to(&self, addr: SocketAddr, datagram: &Datagram) {
+        if let Ok(bytes) = postcard::to_stdvec(&(self.gateway.vm(), datagram)) {
+            let _ = self.socket.try_send_to(&bytes, addr);
+        }
+    }
+
+    /// Sends messages of the membership protocol.
     pub(crate) fn send(&self, out: Outbox) {
         for sent in out {
-            let Some(addr) = sent.addr else { continue };
-            if let Ok(bytes) = postcard::to_stdvec(&(self.gateway.vm(), &sent.msg)) {
-                let _ = self.socket.try_send_to(&bytes, addr);
+            if let Some(addr) = sent.addr {
+                self.send_to(addr, &Datagram::Member(sent.msg));
             }
         }
     }
 
+    /// Sends messages of the lending of quotas, those to one VM together.
+    pub(crate) fn send_lending(&self, out: Vec<Outgoing>) {
+        let mut by_vm: HashMap<VmName, Vec<Msg>> = HashMap::new();
+        for outgoing in out {
+            by_vm.entry(outgoing.to).or_default().push(outgoing.msg);
+        }
+        for (vm, msgs) in by_vm {
+            if let Some(addr) = self.peer_addr(&vm) {
+                for msgs in msgs.chunks(MSGS_PER_DATAGRAM) {
+                    self.send_to(addr, &Datagram::Lend(msgs.to_vec()));
+                }
+            }
+        }
+    }
+
+    /// Where a listed VM takes messages.
+    pub(crate) fn peer_addr(&self, vm: &VmName) -> Option<SocketAddr> {
+        lock(&self.world)
+            .vms()
+            .find(|listed| listed.vm == *vm)
+            .map(|listed| listed.peers)
+    }
+
+    /// Asks another VM to take one request from its share of a quota.
+    async fn ask_quota(&self, vm: &VmName, org: &OrgName) -> Option<Answer> {
+        let addr = self.peer_addr(vm)?;
+        let number = self.take_number.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        lock(&self.takes).insert(number, tx);
+        let org = org.clone();
+        self.send_to(addr, &Datagram::Take { number, org });
+        let answer = tokio::time::timeout(TAKE_TIMEOUT, rx).await;
+        lock(&self.takes).remove(&number);
+        answer.ok()?.ok()
+    }
+
+    /// Hands the answer to the request that waits for it.
+    pub(crate) fn on_taken(&self, number: u64, answer: Answer) {
+        if let Some(tx) = lock(&self.takes).remove(&number) {
+            // A request that has ended no longer waits.
+            let _ = tx.send(answer);
+        }
+    }
+
     /// Whether this VM takes callers.
     pub(crate) fn is_ready(&self) -> bool {
         self.gateway.live().ready && !self.gateway.is_leaving()
@@ -166,7 +248,13 @@
         let mut world = lock(&self.world);
         world.expire(now);
         let previous = self.gateway.live();
-        let live = world.live(&previous, self.sharing_vms(), now);
+        let mut live = world.live(&previous, self.sharing_vms(), now);
+        if let (Some(plan), Some(read_at)) = (world.plan(), world.vms_read_at()) {
+            let vms: Vec<AnnouncedVm> = world.vms().cloned().collect();
+            let mut quotas = lock(&self.quotas);
+            quotas.sync(plan, &vms, read_at, now);
+            live.quotas = quotas.limiters();
+        }
         *lock(&self.next_change) = world.next_change(now);
         drop(world);
         let was_ready = previous.ready;
@@ -269,7 +357,7 @@
 }
 
 /// The membership protocol, fast enough that a VM that stopped is not named beyond the deployment's bound.
-fn members(cfg: &GatewaySettings, bounds: &Bounds) -> Members {
+fn members(cfg: &GatewaySettings, bounds: &Bounds, incarnation: Incarnation) -> Members {
     let usual = Config::default();
     let config = Config {
         addr: Some(cfg.listen.peers),
@@ -279,7 +367,6 @@
         domain_silence: usual.domain_silence.min(bounds.vm_loss / 2),
         ..usual
     };
-    let incarnation = Incarnation(jiff::Timestamp::now().as_microsecond().unsigned_abs());
     let (domain, region) = (cfg.domain.clone(), cfg.region.clone());
     Members::new(cfg.vm.clone(), incarnation, domain, region, Instant::now(), config)
 }
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -1,6 +1,6 @@
 use std::hash::Hasher;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, Guard};
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Method, Request, Response};
+use mh_budget::Decision;
 use mh_edge::{AnswerBody, Refusal, total_bytes};
 use mh_types::{Code, Event, Run, VmName, emit};
 use siphasher::sip::SipHasher13;
@@ -19,7 +20,7 @@
 use super::cx::Cx;
 use super::forward::forward;
 use super::outgoing::head;
-use crate::{Bounds, HeaderNames, HostRoute, Live, Plan, PlanOrg};
+use crate::{Bounds, HeaderNames, HostRoute, Live, Plan, PlanOrg, QuotaPeers};
 
 /// Wait that a caller is asked for while this VM is not ready.
 const NOT_READY_WAIT: Duration = Duration::from_millis(500);
@@ -40,6 +41,7 @@
     counters: Counters,
     leaving: AtomicBool,
     closed: AtomicBool,
+    peers: OnceLock<Arc<dyn QuotaPeers>>,
 }
 
 impl Gateway {
@@ -53,9 +55,16 @@
             counters: Counters::default(),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            peers: OnceLock::new(),
         }
     }
 
+    /// Gives the way to the other VMs' shares of quotas.
+    pub fn connect(&self, peers: Arc<dyn QuotaPeers>) {
+        // A second call changes nothing.
+        let _ = self.peers.set(peers);
+    }
+
     /// Name of this VM.
     pub fn vm(&self) -> &VmName {
         &self.vm
@@ -181,7 +190,7 @@
         let mut cx = self.context(&live, plan, route, org, (id, id_header), arrived)?;
         cx.deadline = deadline;
         cx.object = object_of(&parts.headers, &self.headers).filter(|_| cx.route.sticky);
-        admit(&live, &cx)?;
+        self.admit(&live, &cx).await?;
         let mut body = Body::read(incoming, cx.max_body_bytes).await?;
         let head = head(parts, &self.headers, cx.org.as_ref().map(|org| org.name.as_str()));
         let result = forward(&cx, &head, &mut body, &self.counters).await;
@@ -196,6 +205,50 @@
         })
     }
 
+    /// Takes one request from the organisation's quota, here or at a VM that has some left.
+    async fn admit(&self, live: &Live, cx: &Cx) -> Result<(), Refusal> {
+        let Some(org) = &cx.org else { return Ok(()) };
+        if org.rate_per_s <= 0.0 {
+            return Ok(());
+        }
+        let limiter = live.quotas.get(&org.name);
+        let limiter = limiter.ok_or_else(|| refusal_with_wait(Code::NotCurrent, NOT_READY_WAIT))?;
+        let mut decision = limiter.decide(Instant::now, 1);
+        let mut asked = 0;
+        loop {
+            let vm = match decision {
+                Decision::Admit => return Ok(()),
+                Decision::Refuse { retry_after } => {
+                    emit!(
+                        Event::QuotaRefused,
+                        request = cx.id,
+                        organisation = org.name,
+                        rate_per_s = org.rate_per_s,
+                        burst = org.burst,
+                        revision = cx.revision,
+                        left_here = limiter.meter().level_micros(Instant::now()) as f64 / mh_budget::MICROS as f64,
+                        asked = asked
+                    );
+                    return Err(refusal_with_wait(
+                        Code::RateExceeded,
+                        retry_after.unwrap_or(NOT_READY_WAIT),
+                    ));
+                }
+                Decision::Ask(vm) => vm,
+            };
+            let answer = match self.peers.get() {
+                Some(peers) => peers.ask(&vm, &org.name).await,
+                None => None,
+            };
+            limiter.on_answer(&vm, answer);
+            if answer.is_some_and(|answer| answer.admitted) {
+                return Ok(());
+            }
+            asked += 1;
+            decision = limiter.decide_again(Instant::now, 1, asked);
+        }
+    }
+
     fn context(
         &self,
         live: &Live,
@@ -234,22 +287,6 @@
     }
 }
 
-/// Takes one request from this VM's share of the organisation's quota.
-fn admit(live: &Live, cx: &Cx) -> Result<(), Refusal> {
-    let Some(org) = &cx.org else { return Ok(()) };
-    let Some(meter) = live.quotas.get(&org.name) else {
-        return Ok(());
-    };
-    if meter.try_take_with(Instant::now, 1) {
-        return Ok(());
-    }
-    let per_request = 1.0 / (org.rate_per_s / live.vms.len().max(1) as f64).max(0.1);
-    Err(refusal_with_wait(
-        Code::RateExceeded,
-        Duration::from_secs_f64(per_request),
-    ))
-}
-
 fn not_run(code: Code) -> Refusal {
     Refusal::new(code, Run::NotRun)
 }
--- a/crates/mh_gateway/tests/world.rs
+++ b/crates/mh_gateway/tests/world.rs
@@ -32,9 +32,10 @@
     assert_eq!(world.live(&Live::default(), 1, now).plan.unwrap().revision.0, 7);
 }
 
-/// Guards against a VM that serves before it knows servers and shifts, and so sends requests to an unproven version.
+/// Guards against a VM that serves before it knows servers, shifts and VMs, and so sends requests to an unproven version
+/// or exceeds a quota.
 #[test]
-fn a_vm_is_ready_only_when_settings_servers_and_shifts_were_read() {
+fn a_vm_is_ready_only_when_every_feed_was_read() {
     let now = Instant::now();
     let mut world = fixtures::world();
     let ready = |world: &mut mh_gateway::World| world.live(&Live::default(), 1, now).ready;
@@ -44,6 +45,8 @@
     world.apply(Feed::Servers, &batch(2, Vec::new()), true, now);
     assert!(!ready(&mut world));
     world.apply(Feed::Shifts, &batch(3, Vec::new()), true, now);
+    assert!(!ready(&mut world));
+    world.apply(Feed::Vms, &batch(4, Vec::new()), true, now);
     assert!(ready(&mut world));
 }
 
