Show a new version's behaviour under load before the switch

Ruled out: a late write of the roll-back; no VM had reached a verdict.

Change: exposed requests fill one server of the new version after the other up to its slots. Counts are halved every 24 answers, so that late faults show. Connections that could not be made are no evidence. The switch comes 1.2 s before the deadline instead of 1.7 s. Each decision is logged with its evidence, and each step of a shift is written on its own pace.

--- a/crates/mh_gateway/src/control/shift_desk.rs
+++ b/crates/mh_gateway/src/control/shift_desk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mh_shift::{Canary, CanaryLimits, Verdict};
-use mh_types::ServiceName;
+use mh_types::{Event, ServiceName, emit};
 
 use crate::{ActiveShift, ShiftOrder, ShiftPhase, ShiftRecord};
 
@@ -11,16 +11,16 @@
 pub(super) const CANARY_VMS: usize = 3;
 
 /// Part of the allowed exposure that the canaries use together; the rest covers uneven traffic and a late switch.
-const EXPOSURE_PART: f64 = 0.4;
+const EXPOSURE_PART: f64 = 0.5;
 
 /// Time before the deadline at which every request goes to a good new version, so that the requests at the old one end.
-const SWITCH_LEAD: Duration = Duration::from_millis(1700);
+const SWITCH_LEAD: Duration = Duration::from_millis(1200);
 
 /// Time before the deadline at which the end is recorded, so that a write that is slow still comes in time.
-const DONE_LEAD: Duration = Duration::from_millis(700);
+const DONE_LEAD: Duration = Duration::from_millis(600);
 
 /// Time by which each VM lets the one before it write first.
-const RANK_DELAY: Duration = Duration::from_millis(300);
+const RANK_DELAY: Duration = Duration::from_millis(200);
 
 /// Canaries of the shifts that this VM takes part in.
 #[derive(Debug, Default)]
@@ -115,7 +115,16 @@
             });
         };
         let (_, canary) = self.canaries.get(service)?;
-        let phase = next_phase(held, order, canary.verdict(), RANK_DELAY * rank as u32, clock)?;
+        let verdict = canary.verdict();
+        let phase = next_phase(held, order, verdict, RANK_DELAY * rank as u32, clock)?;
+        emit!(
+            Event::ShiftDecided,
+            service = service,
+            to = order.to,
+            phase = format_args!("{phase:?}"),
+            verdict = verdict,
+            evidence = canary.summary()
+        );
         Some(ShiftRecord { phase, ..held.clone() })
     }
 }
--- a/crates/mh_gateway/src/control/shift_write.rs
+++ b/crates/mh_gateway/src/control/shift_write.rs
@@ -27,7 +27,7 @@
         };
         let record = world.records.get(&service);
         let due = world.desk.next_record(&service, &order, record, rank, clock);
-        if let Some(due) = due.filter(|_| node.may_write(&service, now)) {
+        if let Some(due) = due.filter(|due| node.may_write(&service, due.phase, now)) {
             tokio::spawn(write(Arc::clone(node), service, due));
         }
     }
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -17,11 +17,11 @@
 use super::ports;
 use crate::control::{Datagram, QuotaDesk, World, announce, follow, run_members};
 use crate::{
-    AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftRecord, Source,
-    Update,
+    AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase,
+    ShiftRecord, Source, Update,
 };
 
-/// Time between two tries to write one shift's record.
+/// Time between two tries to write one step of a shift.
 const SHIFT_WRITE_GAP: Duration = Duration::from_millis(500);
 
 /// Longest wait for a VM that is asked to take a request from its share: a round trip between regions and some room.
@@ -49,7 +49,7 @@
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
     list: Mutex<List>,
-    shift_writes: Mutex<HashMap<ServiceName, Instant>>,
+    shift_writes: Mutex<HashMap<(ServiceName, ShiftPhase), Instant>>,
     sharing: AtomicU32,
     next_change: Mutex<Option<Instant>>,
     epoch: watch::Sender<u64>,
@@ -313,12 +313,13 @@
         *vm == self.cfg.vm && self.gateway.is_leaving()
     }
 
-    /// Whether a shift's record may be written again.
-    pub(crate) fn may_write(&self, service: &ServiceName, now: Instant) -> bool {
+    /// Whether this step of a shift may be written, or written again.
+    pub(crate) fn may_write(&self, service: &ServiceName, phase: ShiftPhase, now: Instant) -> bool {
         let mut writes = lock(&self.shift_writes);
-        let due = writes.get(service).is_none_or(|at| now >= *at + SHIFT_WRITE_GAP);
+        let step = (service.clone(), phase);
+        let due = writes.get(&step).is_none_or(|at| now >= *at + SHIFT_WRITE_GAP);
         if due {
-            writes.insert(service.clone(), now);
+            writes.insert(step, now);
         }
         due
     }
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -8,7 +8,7 @@
 use mh_route::Outcome;
 use mh_route::objects::Placed;
 use mh_shift::{CanaryFault, CanarySample};
-use mh_types::{Code, Event, emit};
+use mh_types::{Code, Event, Run, emit};
 use tokio::time::Instant;
 
 use super::answering::Answering;
@@ -260,7 +260,10 @@
         run = failure.run(),
         after_ms = cx.elapsed_ms()
     );
-    observe(cx, &placed, outcome);
+    // A server that cannot be reached or takes no requests tells nothing about its version.
+    if failure.run() == Run::Unknown {
+        observe(cx, &placed, outcome);
+    }
     placed.done(Instant::now(), outcome);
     failure
 }
--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -15,6 +15,9 @@
 /// Servers that may be tried without reaching any of them; each costs up to the time limit of connecting.
 const MAX_UNREACHED: usize = 3;
 
+/// Object that stands for every exposed request, so that all VMs fill the servers of a new version in the same order.
+const EXPOSED_OBJECT: u64 = 0;
+
 /// What earlier attempts at one request left behind.
 #[derive(Default)]
 struct History {
@@ -97,14 +100,26 @@
     if left.is_zero() {
         return Err(None);
     }
+    let ask = ObjectAsk {
+        object: cx.object,
+        left,
+        regions: &cx.regions,
+        versions: Versions::Any,
+        exclude: &history.tried,
+        pack: false,
+        work: &cx.work,
+    };
     let place = |versions| {
+        let ask = ObjectAsk { versions, ..ask };
+        cx.backends.pool.place(Instant::now(), &ask, rand::random())
+    };
+    // Many versions that fail do so only under load, which the few exposed requests make on as few servers as possible.
+    let expose = |to| {
         let ask = ObjectAsk {
-            object: cx.object,
-            left,
-            regions: &cx.regions,
-            versions,
-            exclude: &history.tried,
-            work: &cx.work,
+            object: Some(EXPOSED_OBJECT),
+            versions: Versions::Only(to),
+            pack: true,
+            ..ask
         };
         cx.backends.pool.place(Instant::now(), &ask, rand::random())
     };
@@ -113,7 +128,7 @@
         Some(shift) => match shift.phase {
             ShiftPhase::Exposing => {
                 let exposes = history.tried.is_empty() && shift.canary.as_ref().is_some_and(|canary| canary.expose());
-                let exposed = exposes.then(|| place(Versions::Only(&shift.to)).ok()).flatten();
+                let exposed = exposes.then(|| expose(&shift.to).ok()).flatten();
                 exposed.map_or_else(|| place(Versions::Except(&shift.to)), Ok)
             }
             ShiftPhase::Switching => place(Versions::Only(&shift.to)).or_else(|_| place(Versions::Any)),
--- a/crates/mh_gateway/src/shift_phase.rs
+++ b/crates/mh_gateway/src/shift_phase.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 /// How far the shift of a service to a new version is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ShiftPhase {
     /// A few VMs expose the new version to a small share of the requests.
--- a/crates/mh_route/src/objects/ask.rs
+++ b/crates/mh_route/src/objects/ask.rs
@@ -41,6 +41,8 @@
     pub versions: Versions<'a>,
     /// Servers that must not be used, such as those that were tried.
     pub exclude: &'a [ServerName],
+    /// Whether to fill one server after the other, each up to its slots, so that few requests show how it bears load.
+    pub pack: bool,
     /// Observed work times of the route.
     pub work: &'a Arc<WorkTimes>,
 }
@@ -54,6 +56,7 @@
             regions: &[],
             versions: Versions::Any,
             exclude: &[],
+            pack: false,
             work,
         }
     }
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -120,7 +120,10 @@
             let forecast = self.forecast(candidate, object, ask, at);
             if forecast.finish_us > micros(ask.left) {
                 soonest = Some(soonest.map_or(forecast.finish_us, |s| s.min(forecast.finish_us)));
-            } else if best.is_none_or(|best| forecast.cost < best.cost) {
+            } else if ask.pack && forecast.wait_us == 0 {
+                best = Some(forecast);
+                break;
+            } else if !ask.pack && best.is_none_or(|best| forecast.cost < best.cost) {
                 best = Some(forecast);
             }
         }
@@ -177,7 +180,9 @@
         }
         if ask.object.is_some() {
             out.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.weight));
-            out.truncate(MAX_SPREAD);
+            if !ask.pack {
+                out.truncate(MAX_SPREAD);
+            }
         }
         for candidate in &mut out {
             candidate.is_first = candidate.weight == first;
--- a/crates/mh_shift/src/canary.rs
+++ b/crates/mh_shift/src/canary.rs
@@ -88,13 +88,22 @@
         if let Some(reason) = self.fault(&all) {
             return reason;
         }
-        if all.new.count() >= self.limits.min_good {
+        if all.new.seen() >= self.limits.min_good {
             Verdict::Good
         } else {
             Verdict::Open
         }
     }
 
+    /// The evidence by route, for log lines.
+    pub fn summary(&self) -> String {
+        let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let sides = routes
+            .iter()
+            .map(|(route, sides)| format!("{route}: old {} new {}", sides.old, sides.new));
+        sides.collect::<Vec<_>>().join("; ")
+    }
+
     fn fault(&self, sides: &Sides) -> Option<Verdict> {
         let limits = &self.limits;
         let (new, old) = (&sides.new, &sides.old);
--- a/crates/mh_shift/src/canary/tally.rs
+++ b/crates/mh_shift/src/canary/tally.rs
@@ -1,8 +1,15 @@
+use std::fmt;
+
 use super::{CanaryFault, CanarySample};
 
-/// Counted answers of one side.
+/// Answers after which the counts are halved, so that a fault that starts late is not hidden by the good answers before.
+const RECENT: u32 = 24;
+
+/// Counted answers of one side, the recent ones with more weight.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Tally {
+    /// All answers, with no loss of weight.
+    seen: u32,
     count: u32,
     errors: u32,
     timeouts: u32,
@@ -12,6 +19,10 @@
 
 impl Tally {
     pub(crate) fn add(&mut self, sample: &CanarySample) {
+        if self.count >= RECENT {
+            self.halve();
+        }
+        self.seen += 1;
         self.count += 1;
         match sample.fault {
             Some(CanaryFault::Error) => self.errors += 1,
@@ -25,6 +36,7 @@
     }
 
     pub(crate) fn merge(&mut self, other: &Self) {
+        self.seen += other.seen;
         self.count += other.count;
         self.errors += other.errors;
         self.timeouts += other.timeouts;
@@ -32,8 +44,17 @@
         self.ratio_sum += other.ratio_sum;
     }
 
-    pub(crate) fn count(&self) -> u32 {
-        self.count
+    fn halve(&mut self) {
+        self.count /= 2;
+        self.errors /= 2;
+        self.timeouts /= 2;
+        self.timed /= 2;
+        self.ratio_sum /= 2.0;
+    }
+
+    /// All answers so far.
+    pub(crate) fn seen(&self) -> u32 {
+        self.seen
     }
 
     pub(crate) fn errors(&self) -> u32 {
@@ -58,3 +79,14 @@
         self.ratio_sum / f64::from(self.timed.max(1))
     }
 }
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (seen, errors, timeouts) = (self.seen, self.errors, self.timeouts);
+        let ratio = self.mean_ratio();
+        write!(
+            f,
+            "{seen} ({errors} errors, {timeouts} late, {ratio:.1} times the forecast)"
+        )
+    }
+}
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -87,6 +87,7 @@
     ShiftFault = 702, Warn, "A fault of a new version was seen.";
     ShiftOrdered = 703, Info, "A shift to a new version was ordered, or its order was withdrawn.";
     ShiftRecorded = 704, Info, "The state of a shift changed.";
+    ShiftDecided = 705, Info, "This VM decided on the next state of a shift.";
 }
 
 impl Event {
