--- a/crates/mh_gateway/src/control/world.rs
+++ b/crates/mh_gateway/src/control/world.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mh_route::ServerSpec;
-use mh_route::objects::{Listed, WorkTimes};
+use mh_route::objects::{Listed, Places, WorkTimes};
 use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
 use tokio::time::Instant;
 
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct World {
     bounds: Bounds,
+    /// Region of this VM.
+    home: RegionName,
     regions: BTreeMap<DomainName, RegionName>,
     plan: Option<Arc<Plan>>,
     servers: BTreeMap<ServerName, KnownServer>,
@@ -39,10 +41,11 @@
 }
 
 impl World {
-    /// A world of which only the regions of the failure domains are known.
-    pub fn new(regions: BTreeMap<DomainName, RegionName>, bounds: Bounds) -> Self {
+    /// The world of a VM in the region `home`, of which only the regions of the failure domains are known.
+    pub fn new(home: RegionName, regions: BTreeMap<DomainName, RegionName>, bounds: Bounds) -> Self {
         Self {
             bounds,
+            home,
             regions,
             plan: None,
             servers: BTreeMap::new(),
@@ -144,11 +147,12 @@
         let Some(plan) = self.plan.clone() else {
             return Live::default();
         };
+        let places = self.places();
         let mut listed = self.listed(now);
         let backends = plan.services.values().map(|service| {
             let servers = listed.remove(&service.name).unwrap_or_default();
             let kept = previous.backends.get(&service.name).map(Arc::as_ref);
-            let backends = ServiceBackends::new(service, &servers, kept, vms, &self.bounds, now);
+            let backends = ServiceBackends::new(service, &servers, kept, vms, &places, &self.bounds, now);
             (service.name.clone(), Arc::new(backends))
         });
         let backends = backends.collect();
@@ -170,6 +174,17 @@
         }
     }
 
+    fn places(&self) -> Places {
+        let mut vms: BTreeMap<RegionName, u32> = BTreeMap::new();
+        for vm in self.vms.values() {
+            *vms.entry(vm.region.clone()).or_default() += 1;
+        }
+        Places {
+            home: Some(self.home.clone()),
+            vms,
+        }
+    }
+
     fn listed(&self, now: Instant) -> HashMap<ServiceName, Vec<Listed>> {
         let mut out: HashMap<ServiceName, Vec<Listed>> = HashMap::new();
         for (name, server) in &self.servers {
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -107,7 +107,7 @@
             gateway: Arc::new(Gateway::new(cfg.vm.clone(), headers, bounds)),
             interface,
             source,
-            world: Mutex::new(World::new(regions, bounds)),
+            world: Mutex::new(World::new(cfg.region.clone(), regions, bounds)),
             members: Mutex::new(members(&cfg, &bounds, incarnation)),
             quotas: Mutex::new(QuotaDesk::new(me, Instant::now())),
             takes: Mutex::default(),
--- a/crates/mh_gateway/src/service_backends.rs
+++ b/crates/mh_gateway/src/service_backends.rs
@@ -4,7 +4,7 @@
 
 use mh_edge::Connections;
 use mh_route::RetryBudget;
-use mh_route::objects::{Listed, ObjectPool};
+use mh_route::objects::{Listed, ObjectPool, Places};
 use mh_types::ServerName;
 use tokio::time::Instant;
 
@@ -34,11 +34,13 @@
         listed: &[Listed],
         previous: Option<&Self>,
         vms: u32,
+        places: &Places,
         bounds: &Bounds,
         now: Instant,
     ) -> Self {
         let vms = vms.max(1);
-        let pool = ObjectPool::new(listed, previous.map(|p| &p.pool), service.cold_per_s, vms, now);
+        let kept = previous.map(|p| &p.pool);
+        let pool = ObjectPool::new(listed, kept, service.cold_per_s, vms, places, now);
         let connections = listed.iter().map(|listed| {
             let kept = previous
                 .and_then(|p| p.connections.get(&listed.spec.name))
--- a/crates/mh_route/src/objects/mod.rs
+++ b/crates/mh_route/src/objects/mod.rs
@@ -14,7 +14,7 @@
 //! use std::sync::Arc;
 //! use std::time::Duration;
 //!
-//! use mh_route::objects::{Listed, ObjectAsk, ObjectPool, WorkTimes};
+//! use mh_route::objects::{Listed, ObjectAsk, ObjectPool, Places, WorkTimes};
 //! use mh_route::{Outcome, ServerSpec};
 //! use tokio::time::Instant;
 //!
@@ -28,7 +28,7 @@
 //!     slots: 4,
 //!     connections: 330,
 //! };
-//! let pool = ObjectPool::new(&[Listed::serving(spec)], None, 0.0, 1, now);
+//! let pool = ObjectPool::new(&[Listed::serving(spec)], None, 0.0, 1, &Places::default(), now);
 //! let work = Arc::new(WorkTimes::new(Duration::from_millis(400)));
 //!
 //! let ask = ObjectAsk::new(Some(17), Duration::from_secs(1), &work);
@@ -41,6 +41,7 @@
 mod cold_pace;
 mod listed;
 mod placed;
+mod places;
 mod pool;
 mod recent;
 mod refused;
@@ -52,6 +53,7 @@
 pub use ask::{ObjectAsk, Versions};
 pub use listed::Listed;
 pub use placed::Placed;
+pub use places::Places;
 pub use pool::ObjectPool;
 pub use refused::Refused;
 pub use server_view::ObjectServerView;
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -5,9 +5,9 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::rendezvous::weight;
+use super::rendezvous::{score, weight};
 use super::track::Track;
-use super::{Listed, ObjectAsk, ObjectServerView, Placed, Refused};
+use super::{Listed, ObjectAsk, ObjectServerView, Placed, Places, Refused};
 use crate::ServerSpec;
 use crate::clock::{Clock, Micros, micros};
 
@@ -45,6 +45,8 @@
     spec: Arc<ServerSpec>,
     run: u64,
     leaving: bool,
+    /// Part of this VM's objects that the server is the first choice of.
+    part: f64,
     track: Arc<Track>,
 }
 
@@ -71,7 +73,16 @@
     /// A pool of the servers `listed`, which keeps what `previous` observed of those that stay.
     ///
     /// A cold server takes `cold_per_s` requests a second over all `vms`; zero means that cold servers are not limited.
-    pub fn new(listed: &[Listed], previous: Option<&Self>, cold_per_s: f64, vms: u32, now: Instant) -> Self {
+    ///
+    /// `places` says where this VM is and how the callers' requests are spread over regions.
+    pub fn new(
+        listed: &[Listed],
+        previous: Option<&Self>,
+        cold_per_s: f64,
+        vms: u32,
+        places: &Places,
+        now: Instant,
+    ) -> Self {
         let clock = previous.map_or_else(|| Clock::new(now), |previous| previous.clock);
         let at = clock.micros(now);
         let cold_gap = if cold_per_s > 0.0 {
@@ -79,6 +90,8 @@
         } else {
             0
         };
+        let open = listed.iter().filter(|listed| !listed.leaving);
+        let parts = places.parts(open.map(|listed| (&listed.spec.region, listed.spec.slots)));
         let servers = listed.iter().map(|listed| {
             let kept = previous.and_then(|pool| {
                 let same = |s: &&Server| s.spec.name == listed.spec.name && s.spec.addr == listed.spec.addr;
@@ -96,6 +109,7 @@
                 spec: Arc::new(listed.spec.clone()),
                 run: listed.run,
                 leaving: listed.leaving,
+                part: parts.get(&listed.spec.region).copied().unwrap_or_default() * f64::from(listed.spec.slots),
                 track,
             }
         });
@@ -157,18 +171,21 @@
         }
     }
 
-    /// The servers that may get the request, first choice first. A request about an object goes to the first
-    /// [`MAX_SPREAD`] of its order that take requests now; others go to any.
+    /// The servers that may get the request. One about an object goes to its first choice, which depends on the regions'
+    /// room, or to the next in an order that does not, so that a region that is full spills to all others.
     fn candidates(&self, object: u64, ask: &ObjectAsk<'_>, at: Micros) -> SmallVec<[Candidate; 16]> {
         let mut out: SmallVec<[Candidate; 16]> = SmallVec::new();
-        let mut first = 0;
+        let mut first: Option<(f64, usize)> = None;
         for (index, server) in self.servers.iter().enumerate() {
             if server.leaving || !allows(server, ask) {
                 continue;
             }
             let weight = weight(object, &server.spec.name);
-            // Every VM finds the same first choice, whatever it observed itself.
-            first = first.max(weight);
+            let score = score(weight, server.part);
+            // Every VM of a region finds the same first choice, whatever it observed itself.
+            if first.is_none_or(|(best, _)| score > best) {
+                first = Some((score, index));
+            }
             let is_tried = ask.exclude.contains(&server.spec.name);
             if !is_tried && server.track.is_open(at) && server.track.cold.has_room(at) {
                 out.push(Candidate {
@@ -178,15 +195,16 @@
                 });
             }
         }
+        let first = first.map(|(_, index)| index);
+        for candidate in &mut out {
+            candidate.is_first = Some(candidate.index) == first;
+        }
         if ask.object.is_some() {
-            out.sort_unstable_by_key(|candidate| std::cmp::Reverse(candidate.weight));
+            out.sort_unstable_by_key(|candidate| std::cmp::Reverse((candidate.is_first, candidate.weight)));
             if !ask.pack {
                 out.truncate(MAX_SPREAD);
             }
         }
-        for candidate in &mut out {
-            candidate.is_first = candidate.weight == first;
-        }
         out
     }
 
--- a/crates/mh_route/src/objects/rendezvous.rs
+++ b/crates/mh_route/src/objects/rendezvous.rs
@@ -11,3 +11,14 @@
     hasher.write(server.as_str().as_bytes());
     hasher.finish()
 }
+
+/// Smallest part of a server, so that it is still ordered where nothing else is left.
+const MIN_PART: f64 = 1e-9;
+
+/// Score of a server with the weight `weight` that is the first choice of `part` of the objects.
+///
+/// The logarithm makes the chance of the highest score proportional to the part (weighted rendezvous hashing).
+pub(crate) fn score(weight: u64, part: f64) -> f64 {
+    let uniform = (weight as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -part.max(MIN_PART) / uniform.ln()
+}
