Do not take a server for silent whose answers are not read

Answers that callers do not read never end, so a server with twelve of them was closed, and then allowed one request at a time. The new test ends with AtLimit (2002) without the change.

Ruled out: the cold ramp of a newly listed server; it starts at a tenth of the slots, here hundreds of requests.

Change: the silence clock counts requests of which nothing of an answer has arrived.

--- a/crates/mh_edge/src/backends.rs
+++ b/crates/mh_edge/src/backends.rs
@@ -65,6 +65,9 @@
 
     /// Notes the answer's head; it is recorded when the answer has ended.
     pub(crate) fn answered(&mut self, status: StatusCode, closes: bool) {
+        if let Some(pick) = &mut self.pick {
+            pick.heard(Instant::now());
+        }
         self.outcome = if status == StatusCode::SERVICE_UNAVAILABLE {
             if closes { Outcome::Closing } else { Outcome::Shed }
         } else {
--- a/crates/mh_route/src/pick.rs
+++ b/crates/mh_route/src/pick.rs
@@ -24,6 +24,8 @@
     /// The request tries out a failed server.
     pub(crate) trial: bool,
     pub(crate) ended: bool,
+    /// The request was sent, and nothing of its answer has arrived.
+    pub(crate) waits: bool,
 }
 
 impl Pick {
@@ -37,10 +39,19 @@
         self.trial
     }
 
+    /// Records that an answer began. A server whose answers are not taken by their callers is not silent.
+    pub fn heard(&mut self, now: Instant) {
+        if self.waits {
+            self.waits = false;
+            let waiting = self.seen.stop_waiting();
+            self.seen.on_heard(waiting, self.clock.micros(now));
+        }
+    }
+
     /// Records how the request ended and gives the slot back.
     pub fn done(mut self, now: Instant, outcome: Outcome) {
         let now = self.clock.micros(now);
-        let in_flight = self.end();
+        let (in_flight, waiting) = self.end();
         let (seen, place) = (&self.seen, &self.place);
         match outcome {
             Outcome::Answered { status, latency } => {
@@ -50,7 +61,7 @@
                 seen.latency.observe(latency_us, now);
                 self.shared.latency.observe(latency_us, now);
                 seen.grow_limit();
-                seen.on_heard(in_flight, now);
+                seen.on_heard(waiting, now);
                 // A leaving server still answers what it took earlier, so only a trial shows that it came back.
                 if self.trial {
                     seen.closing.store(false, Ordering::Relaxed);
@@ -63,7 +74,7 @@
             Outcome::Shed => {
                 seen.shed.fetch_add(1, Ordering::Relaxed);
                 seen.on_shed(in_flight);
-                seen.on_heard(in_flight, now);
+                seen.on_heard(waiting, now);
                 if !seen.closing.load(Ordering::Relaxed) {
                     seen.breaker.on_answer(now);
                 }
@@ -71,7 +82,7 @@
             }
             Outcome::Closing => {
                 seen.closing.store(true, Ordering::Relaxed);
-                seen.on_heard(in_flight, now);
+                seen.on_heard(waiting, now);
                 seen.breaker.close_long(now);
                 if self.trial {
                     seen.breaker.on_failure(now, true);
@@ -80,14 +91,14 @@
             }
             Outcome::Failed | Outcome::TimedOut => {
                 seen.failed.fetch_add(1, Ordering::Relaxed);
-                if in_flight == 0 {
+                if waiting == 0 {
                     seen.on_heard(0, now);
                 }
                 seen.breaker.on_failure(now, self.trial);
                 place.breaker.on_failure(now, self.trial);
             }
             Outcome::Cancelled => {
-                let told_nothing = seen.on_given_up(self.sent_at, in_flight, now);
+                let told_nothing = seen.on_given_up(self.sent_at, waiting, now);
                 if told_nothing {
                     self.drop_trial();
                 } else if self.trial {
@@ -98,9 +109,16 @@
         }
     }
 
-    fn end(&mut self) -> u32 {
+    /// Gives the slot back; returns how many requests are still in flight and how many of them wait.
+    fn end(&mut self) -> (u32, u32) {
         self.ended = true;
-        self.seen.release()
+        let waiting = if self.waits {
+            self.waits = false;
+            self.seen.stop_waiting()
+        } else {
+            self.seen.waiting()
+        };
+        (self.seen.release(), waiting)
     }
 
     /// Gives everything back for a request that was not sent.
--- a/crates/mh_route/src/pool.rs
+++ b/crates/mh_route/src/pool.rs
@@ -173,7 +173,7 @@
                 entry.seen.release();
                 continue;
             }
-            let pick = Pick {
+            let mut pick = Pick {
                 spec: Arc::clone(&entry.spec),
                 seen: Arc::clone(&entry.seen),
                 place: Arc::clone(&entry.place),
@@ -182,6 +182,7 @@
                 sent_at: now,
                 trial: candidate.trial,
                 ended: false,
+                waits: false,
             };
             if ask.charge.is_some_and(|charge| !charge.charge(&entry.spec)) {
                 scan.full = true;
@@ -194,6 +195,7 @@
                 continue;
             }
             entry.seen.on_sent(now);
+            pick.waits = true;
             entry.place.picks.add(now);
             return Ok(pick);
         }
--- a/crates/mh_route/src/seen.rs
+++ b/crates/mh_route/src/seen.rs
@@ -51,6 +51,8 @@
     limit: AtomicU32,
     /// Time of the first request sent since the last answer; zero if there is none.
     asked_since: AtomicU64,
+    /// Requests in flight of which nothing of an answer has arrived.
+    waiting: AtomicU32,
 }
 
 impl Seen {
@@ -70,6 +72,7 @@
             errors: AtomicU32::new(0),
             limit: AtomicU32::new(0),
             asked_since: AtomicU64::new(0),
+            waiting: AtomicU32::new(0),
         }
     }
 
@@ -116,21 +119,31 @@
     }
 
     pub(crate) fn on_sent(&self, now: Micros) {
+        self.waiting.fetch_add(1, Ordering::AcqRel);
         self.asked_since
             .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed)
             .ok();
     }
 
-    /// Restarts the silence clock after any sign of life, with `in_flight` requests still waiting.
-    pub(crate) fn on_heard(&self, in_flight: u32, now: Micros) {
+    /// One request waits no longer, as its answer began or it ended; returns how many still wait.
+    pub(crate) fn stop_waiting(&self) -> u32 {
+        self.waiting.fetch_sub(1, Ordering::AcqRel).saturating_sub(1)
+    }
+
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Acquire)
+    }
+
+    /// Restarts the silence clock after any sign of life, with `waiting` requests still waiting.
+    pub(crate) fn on_heard(&self, waiting: u32, now: Micros) {
         self.asked_since
-            .store(if in_flight == 0 { 0 } else { now }, Ordering::Relaxed);
+            .store(if waiting == 0 { 0 } else { now }, Ordering::Relaxed);
     }
 
     /// A request was given up; returns whether the wait was too short to tell anything, and forgets it if so.
-    pub(crate) fn on_given_up(&self, sent_at: Micros, in_flight: u32, now: Micros) -> bool {
+    pub(crate) fn on_given_up(&self, sent_at: Micros, waiting: u32, now: Micros) -> bool {
         let short = |since: Micros| now.saturating_sub(since) < GIVEN_UP_LATENCIES * self.latency.mean_us();
-        if in_flight == 0 && short(self.asked_since.load(Ordering::Relaxed)) {
+        if waiting == 0 && short(self.asked_since.load(Ordering::Relaxed)) {
             self.asked_since.store(0, Ordering::Relaxed);
         }
         short(sent_at)
--- a/crates/mh_route/tests/failures.rs
+++ b/crates/mh_route/tests/failures.rs
@@ -263,3 +263,31 @@
     drop(held);
     assert_eq!(server(&changed.view(), "s1").in_flight, 0);
 }
+
+/// Guards against taking a server for silent, and refusing requests beside it, because callers do not read its answers.
+#[test]
+fn answers_that_nobody_reads_do_not_make_a_server_silent() {
+    let start = Instant::now();
+    let pool = Pool::new(
+        &home(),
+        &[ServerSpec {
+            slots: 1000,
+            ..spec("s1", "a1")
+        }],
+        start,
+    );
+    for n in 0..20 {
+        let now = start + ms(n);
+        pool.pick(now, &idempotent(), n).unwrap().done(now + ms(1), answered(1));
+    }
+    let mut unread = Vec::new();
+    for n in 0..12 {
+        let mut pick = pool.pick(start + ms(30), &idempotent(), n).unwrap();
+        pick.heard(start + ms(31));
+        unread.push(pick);
+    }
+
+    let later = pool.pick(start + ms(5_000), &idempotent(), 7);
+
+    assert!(later.is_ok(), "{later:?}");
+}
