--- /dev/null
+++ b/crates/mh_shift/tests/canary.rs
@@ -0,0 +1,147 @@
+//! The verdict of a VM that exposes a new version.
+
+use mh_shift::{Canary, CanaryFault, CanaryLimits, CanarySample, Verdict};
+use mh_types::RouteName;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn canary(share: f64) -> Canary {
+    Canary::new(CanaryLimits {
+        share,
+        ..CanaryLimits::default()
+    })
+}
+
+fn route(name: &str) -> RouteName {
+    RouteName::from(name)
+}
+
+fn good(is_new: bool) -> CanarySample {
+    CanarySample {
+        is_new,
+        fault: None,
+        time_ratio: Some(1.0),
+    }
+}
+
+fn bad(is_new: bool, fault: CanaryFault) -> CanarySample {
+    CanarySample {
+        is_new,
+        fault: Some(fault),
+        time_ratio: None,
+    }
+}
+
+fn observe(canary: &Canary, name: &str, count: usize, sample: CanarySample) {
+    for _ in 0..count {
+        canary.observe(&route(name), sample);
+    }
+}
+
+/// Guards against a verdict of "good" without evidence.
+#[test]
+fn nothing_seen_is_no_verdict() {
+    let canary = canary(0.1);
+    observe(&canary, "r", 100, good(false));
+
+    assert_eq!(canary.verdict(), Verdict::Open);
+}
+
+/// Guards against missing a version that fails half of its requests.
+#[test]
+fn a_version_that_fails_is_found_after_a_few_answers() {
+    let canary = canary(0.1);
+    observe(&canary, "r", 50, good(false));
+    observe(&canary, "r", 3, good(true));
+
+    observe(&canary, "r", 3, bad(true, CanaryFault::Error));
+
+    assert_eq!(canary.verdict(), Verdict::Failing);
+}
+
+/// Guards against missing a fault of one route among the good answers of the others.
+#[test]
+fn a_fault_of_one_route_is_found() {
+    let canary = canary(0.1);
+    observe(&canary, "a", 200, good(true));
+
+    observe(&canary, "b", 3, bad(true, CanaryFault::Error));
+
+    assert_eq!(canary.verdict(), Verdict::Failing);
+}
+
+/// Guards against blaming a version for a fault that strikes the old one as well.
+#[test]
+fn a_fault_of_both_versions_is_not_held_against_the_new_one() {
+    let canary = canary(0.1);
+    observe(&canary, "r", 10, good(false));
+    observe(&canary, "r", 5, bad(false, CanaryFault::Error));
+    observe(&canary, "r", 10, good(true));
+
+    observe(&canary, "r", 5, bad(true, CanaryFault::Error));
+
+    assert_eq!(canary.verdict(), Verdict::Good);
+}
+
+/// Guards against overload, in which both versions time out, hiding the errors of the new one. Seen in hunted days of
+/// Kovacik trouble-1 and trouble-3.
+#[test]
+fn errors_show_through_the_timeouts_of_overload() {
+    let canary = canary(0.1);
+    observe(&canary, "r", 10, good(false));
+    observe(&canary, "r", 8, bad(false, CanaryFault::TimedOut));
+    observe(&canary, "r", 6, good(true));
+    observe(&canary, "r", 5, bad(true, CanaryFault::TimedOut));
+
+    observe(&canary, "r", 4, bad(true, CanaryFault::Error));
+
+    assert_eq!(canary.verdict(), Verdict::Failing);
+}
+
+/// Guards against the good answers before a late fault hiding it. Seen on Kovacik trouble-1, seed 549411576156.
+#[test]
+fn a_fault_that_starts_late_is_found() {
+    let canary = canary(0.1);
+    observe(&canary, "r", 1000, good(false));
+    observe(&canary, "r", 1000, good(true));
+
+    observe(&canary, "r", 10, bad(true, CanaryFault::Error));
+
+    assert_eq!(canary.verdict(), Verdict::Failing);
+}
+
+/// Guards against missing a version that is only slow.
+#[test]
+fn a_slow_version_is_found() {
+    let canary = canary(0.1);
+    observe(&canary, "r", 50, good(false));
+
+    observe(
+        &canary,
+        "r",
+        6,
+        CanarySample {
+            time_ratio: Some(4.0),
+            ..good(true)
+        },
+    );
+
+    assert_eq!(canary.verdict(), Verdict::Slow);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    /// Guards against more exposure than the share in any stretch of requests, against counting by hand.
+    #[test]
+    fn exposure_never_exceeds_the_share(share in 0.0_f64..=1.0, before in 0_usize..100, stretch in 1_usize..500) {
+        let canary = canary(share);
+        for _ in 0..before {
+            canary.expose();
+        }
+
+        let exposed = (0..stretch).filter(|_| canary.expose()).count();
+
+        prop_assert!(exposed as f64 <= share * stretch as f64 + 1.0 + 1e-3, "{exposed}");
+    }
+}
