Do not take a server for silent that waits for a caller's body

Servers that wait for bodies which their callers do not finish counted as silent and were closed; it is the same fault as with answers that nobody reads, on the other side of the exchange.

Ruled out: the limit in flight; 12 requests are in flight of thousands allowed.

Change: a request whose body is passed on as it arrives does not start the silence clock.

--- a/crates/mh_edge/src/backends.rs
+++ b/crates/mh_edge/src/backends.rs
@@ -58,15 +58,19 @@
         &self.connections
     }
 
-    /// Starts the time until the answer, which does not include connecting.
-    pub(crate) fn sent(&mut self) {
+    /// Starts the time until the answer, which does not include connecting. The server may wait for the rest of a body
+    /// that the caller still sends.
+    pub(crate) fn sent(&mut self, body_is_whole: bool) {
         self.sent_at = Instant::now();
+        if let Some(pick) = self.pick.as_mut().filter(|_| !body_is_whole) {
+            pick.owes_nothing(self.sent_at);
+        }
     }
 
     /// Notes the answer's head; it is recorded when the answer has ended.
     pub(crate) fn answered(&mut self, status: StatusCode, closes: bool) {
         if let Some(pick) = &mut self.pick {
-            pick.heard(Instant::now());
+            pick.owes_nothing(Instant::now());
         }
         self.outcome = if status == StatusCode::SERVICE_UNAVAILABLE {
             if closes { Outcome::Closing } else { Outcome::Shed }
--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -256,7 +256,7 @@
                 run: Run::NotRun,
             });
         }
-        picked.sent();
+        picked.sent(upload.again().is_some());
         let fault = upload.fault();
         let again = upload.again();
         let mut sent = self.try_send(&mut connection, self.message(parts, upload)).await;
--- a/crates/mh_route/src/pick.rs
+++ b/crates/mh_route/src/pick.rs
@@ -39,8 +39,9 @@
         self.trial
     }
 
-    /// Records that an answer began. A server whose answers are not taken by their callers is not silent.
-    pub fn heard(&mut self, now: Instant) {
+    /// Records that the server no longer owes anything: its answer began, or its caller still sends the request. A
+    /// server that waits for callers is not silent.
+    pub fn owes_nothing(&mut self, now: Instant) {
         if self.waits {
             self.waits = false;
             let waiting = self.seen.stop_waiting();
