--- /dev/null
+++ b/crates/mh_gateway/tests/site/mod.rs
@@ -0,0 +1,219 @@
+//! A gateway on loopback with two scripted backend servers.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use mh_config::KeyHash;
+use mh_edge::{PortLimits, serve_with};
+use mh_gateway::{
+    Bounds, CallerLimits, Feed, Gateway, HeaderNames, HostRoute, Live, Plan, RegisteredServer, Update,
+};
+use mh_types::Revision;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+use crate::fixtures;
+
+/// Timeout of the fixture's routes; short, so that the test of it does not take long.
+pub const TIMEOUT: Duration = Duration::from_millis(700);
+
+/// What a server does with a request. `ID` in the bytes stands for the request's id.
+#[derive(Clone, Copy, Debug)]
+pub enum Reply {
+    /// Sends these bytes and keeps the connection.
+    Keep(&'static str),
+    /// Sends these bytes and closes the connection.
+    Close(&'static str),
+    /// Never answers.
+    Hang,
+}
+
+pub const OK: Reply =
+    Reply::Keep("HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 4\r\n\r\ndone");
+pub const SHED: Reply = Reply::Keep(
+    "HTTP/1.1 503 Busy\r\nmangohook-request-id: ID\r\nmangohook-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+);
+pub const FAILED: Reply =
+    Reply::Keep("HTTP/1.1 500 No\r\nmangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 2\r\n\r\nno");
+
+#[derive(Default)]
+struct Script {
+    replies: VecDeque<Reply>,
+    seen: Vec<String>,
+    connections: usize,
+}
+
+/// A gateway with its servers.
+pub struct Site {
+    addr: SocketAddr,
+    script: Arc<Mutex<Script>>,
+    pub gateway: Arc<Gateway>,
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+fn route(name: &str, idempotent: bool, open: bool) -> HostRoute {
+    HostRoute {
+        idempotent,
+        open,
+        sticky: false,
+        timeout: TIMEOUT,
+        ..fixtures::route(name)
+    }
+}
+
+impl Site {
+    /// Starts a gateway whose servers answer the requests that arrive in the order of `replies`, then with [`OK`].
+    pub async fn start(replies: &[Reply]) -> Self {
+        let script = Arc::new(Mutex::new(Script {
+            replies: replies.iter().copied().collect(),
+            ..Script::default()
+        }));
+        let servers = [server(&script).await, server(&script).await];
+        Self::with_servers(script, &servers).await
+    }
+
+    /// Starts a gateway one of whose servers cannot be reached.
+    pub async fn start_with_a_dead_server() -> Self {
+        let script = Arc::new(Mutex::new(Script::default()));
+        let dead = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+        let dead = dead.local_addr().expect("a bound address");
+        let servers = [dead, server(&script).await];
+        Self::with_servers(script, &servers).await
+    }
+
+    async fn with_servers(script: Arc<Mutex<Script>>, servers: &[SocketAddr]) -> Self {
+        let gateway = Arc::new(Gateway::new("vm".into(), HeaderNames::default(), Bounds::default()));
+        let now = Instant::now();
+        let listed = servers.iter().enumerate().map(|(n, addr)| {
+            let entry = RegisteredServer {
+                addr: *addr,
+                ..fixtures::server("v1")
+            };
+            Update::Server(format!("s{n}").as_str().into(), Some(entry))
+        });
+        let mut world = fixtures::world_with(listed.collect(), now);
+        let routes = vec![
+            route("safe", true, true),
+            route("pay", false, true),
+            route("keyed", true, false),
+        ];
+        let org = fixtures::org("coop", 0.0);
+        let limits = CallerLimits::default();
+        let plan = Plan::new(
+            Revision(2),
+            routes,
+            vec![fixtures::service()],
+            vec![(org, vec![KeyHash::of("secret")])],
+            limits,
+        );
+        world.apply(
+            Feed::Settings,
+            &fixtures::batch(9, vec![Update::Plan(plan.into())]),
+            false,
+            now,
+        );
+        gateway.publish(world.live(&Live::default(), 1, now));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+        let addr = listener.local_addr().expect("a bound address");
+        let handler = Arc::clone(&gateway);
+        let server = serve_with(listener, PortLimits::default, move |req| {
+            let gateway = Arc::clone(&handler);
+            async move { gateway.handle(req).await }
+        });
+        // The port is served until the runtime of the test ends.
+        std::mem::forget(server.expect("the listener has an address"));
+        Self { addr, script, gateway }
+    }
+
+    /// Sends one request on a connection of its own.
+    pub async fn send(&self, method: &str, path: &str, headers: &str) -> Answer {
+        let mut stream = TcpStream::connect(self.addr).await.expect("the gateway listens");
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nhost: shop.example:80\r\nmangohook-request-id: q{path}\r\nconnection: close\r\n\
+             content-length: 0\r\n{headers}\r\n"
+        );
+        stream.write_all(text.as_bytes()).await.expect("the gateway reads");
+        let mut bytes = Vec::new();
+        // A connection that is cut shows as a short answer.
+        let _ = stream.read_to_end(&mut bytes).await;
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        Answer {
+            status: head.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0),
+            head: head.to_owned(),
+            body: body.to_owned(),
+        }
+    }
+
+    pub async fn get(&self, path: &str) -> Answer {
+        self.send("GET", path, "").await
+    }
+
+    /// Heads of the requests that reached a server.
+    pub fn seen(&self) -> Vec<String> {
+        lock(&self.script).seen.clone()
+    }
+
+    /// Connections that servers accepted.
+    pub fn connections(&self) -> usize {
+        lock(&self.script).connections
+    }
+}
+
+fn lock(script: &Mutex<Script>) -> std::sync::MutexGuard<'_, Script> {
+    script.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn server(script: &Arc<Mutex<Script>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+    let addr = listener.local_addr().expect("a bound address");
+    let script = Arc::clone(script);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            lock(&script).connections += 1;
+            tokio::spawn(answer(stream, Arc::clone(&script)));
+        }
+    });
+    addr
+}
+
+async fn answer(mut stream: TcpStream, script: Arc<Mutex<Script>>) {
+    let mut buf = String::new();
+    loop {
+        let mut piece = [0; 4096];
+        let Ok(len) = stream.read(&mut piece).await else { return };
+        if len == 0 {
+            return;
+        }
+        buf.push_str(&String::from_utf8_lossy(&piece[..len]));
+        let Some((head, rest)) = buf.split_once("\r\n\r\n") else { continue };
+        let (head, rest) = (head.to_owned(), rest.to_owned());
+        buf = rest;
+        let id = head.lines().find_map(|line| line.strip_prefix("mangohook-request-id: ")).unwrap_or_default();
+        let reply = {
+            let mut script = lock(&script);
+            script.seen.push(head.clone());
+            script.replies.pop_front().unwrap_or(OK)
+        };
+        match reply {
+            Reply::Hang => std::future::pending().await,
+            Reply::Keep(text) => {
+                let _ = stream.write_all(text.replace("ID", id).as_bytes()).await;
+            }
+            Reply::Close(text) => {
+                let _ = stream.write_all(text.replace("ID", id).as_bytes()).await;
+                return;
+            }
+        }
+    }
+}
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -464,3 +464,49 @@
         "{text}"
     );
 }
+
+/// A backend server that reads each request, records its target, and closes the connection without an answer.
+async fn silent_backend() -> (SocketAddr, Log) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let log = Log::default();
+    let seen = Arc::clone(&log);
+    tokio::spawn(async move {
+        for number in 0.. {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            let n = stream.read(&mut buf).await.unwrap_or(0);
+            let text = String::from_utf8_lossy(&buf[..n]);
+            if let Some(target) = text.split(' ').nth(1) {
+                seen.lock().unwrap().push((number, target.to_owned()));
+            }
+        }
+    });
+    (addr, log)
+}
+
+/// Guards against the last try's "not run" replacing an earlier try's "may have run": one server loses the answer, and
+/// the other cannot be reached.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_reached_a_server_is_never_refused_as_not_run() {
+    let site = Site::start(1).await;
+    let key = site.grant_key("orchard", "till").await;
+    let (lossy, log) = silent_backend().await;
+    let dead = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let server = |name, addr| json!({"name": name, "addr": addr, "domain": "a", "slots": 1000, "connections": 3000});
+    let doc = json!({"servers": [server("s1", lossy), server("s2", dead)]});
+    assert_eq!(site.set("/teams/shop/services/stock", &doc).await.status, 200);
+    let caller = Caller::new(Some(&key));
+
+    let mut reached = 0;
+    for n in 0..30 {
+        let path = format!("/stock/{n}");
+        let answer = caller.get(site.vm(0).caller, &path).await.unwrap().json();
+        if log.lock().unwrap().iter().any(|(_, target)| *target == path) {
+            reached += 1;
+            assert_eq!(answer["run"], "unknown", "{answer}");
+        }
+    }
+
+    assert!(reached > 0);
+}
