Let changes of the store gather between reads

Change: a VM waits 0.1 s (settings, shifts), 0.3 s (servers) or 1.5 s (list of VMs) after an answer with changes.

Ruled out for now: delegates that read for others.

--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -16,6 +16,20 @@
 /// Longest wait after a failed read, so that a store that returns is noticed well within the bounds on settings.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Wait between an answer with changes and the next read, in which further changes gather. Every change wakes every VM,
+/// so without it a fleet that starts reads the store once for each server that registers.
+fn gather(feed: Feed) -> Duration {
+    let ms = match feed {
+        // Well within the bounds on settings and on the taking back of a bad version.
+        Feed::Settings | Feed::Shifts => 100,
+        // A server that leaves serves for seconds.
+        Feed::Servers => 300,
+        // The membership protocol tells which VMs live; the list only names them.
+        Feed::Vms => 1500,
+    };
+    Duration::from_millis(ms)
+}
+
 /// Outage after which entries of live servers may have lapsed.
 const LAPSE: Duration = Duration::from_secs(2);
 
@@ -60,6 +74,7 @@
                 if is_whole || !batch.updates.is_empty() {
                     lock(&node.world).apply(feed, &batch, is_whole, now);
                     node.rebuild(now);
+                    tokio::time::sleep(gather(feed)).await;
                 }
             }
             Ok(None) => {
