Weigh a server without the object by more than the time it loses

Cause: the warming of a second server was counted as an investment (0.6 of its time), so requests left warm servers early; each such request also makes the second server drop another object.

Change: weight 1.2; the extra cost of late answers is dropped, as it changed nothing that the waits do not say.

--- a/crates/mh_gateway/tests/gateway.rs
+++ b/crates/mh_gateway/tests/gateway.rs
@@ -9,8 +9,7 @@
 const CUT: Reply = Reply::Close("");
 const TRUNCATED: Reply =
     Reply::Close("HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\ncontent-length: 400\r\n\r\nshort");
-const MOVED: Reply =
-    Reply::Keep("HTTP/1.1 421 Other\r\nmangohook-request-id: ID\r\ncontent-length: 0\r\n\r\n");
+const MOVED: Reply = Reply::Keep("HTTP/1.1 421 Other\r\nmangohook-request-id: ID\r\ncontent-length: 0\r\n\r\n");
 const OF_ANOTHER: Reply =
     Reply::Keep("HTTP/1.1 200 OK\r\nmangohook-request-id: other\r\ncontent-length: 6\r\n\r\nsecret");
 
@@ -26,8 +25,14 @@
     let seen = &site.seen()[0];
     assert!(seen.starts_with("GET /keyed/x?y=1 HTTP/1.1"), "{seen}");
     assert!(!seen.contains("secret") && !seen.contains("thief"), "{seen}");
-    assert!(seen.contains("mangohook-organisation: coop") && seen.contains("mangohook-expected-server: s"), "{seen}");
-    let left = seen.lines().find_map(|line| line.strip_prefix("mangohook-deadline-ms: ")).unwrap();
+    assert!(
+        seen.contains("mangohook-organisation: coop") && seen.contains("mangohook-expected-server: s"),
+        "{seen}"
+    );
+    let left = seen
+        .lines()
+        .find_map(|line| line.strip_prefix("mangohook-deadline-ms: "))
+        .unwrap();
     assert!(left.parse::<u64>().unwrap() <= 300, "{left}");
 }
 
@@ -40,7 +45,9 @@
         site.get("/keyed/x").await.status,
         site.send("GET", "/keyed/x", "mangohook-key: guess\r\n").await.status,
         site.get("/nowhere/x").await.status,
-        site.send("GET", "/safe/x", "mangohook-deadline-ms: soon\r\n").await.status,
+        site.send("GET", "/safe/x", "mangohook-deadline-ms: soon\r\n")
+            .await
+            .status,
     ];
 
     assert_eq!(answers, [401, 401, 404, 400]);
@@ -89,7 +96,10 @@
         let answer = site.send("POST", "/pay/x", "").await;
 
         assert_eq!((answer.status, site.seen().len()), (502, 1), "{reply:?}");
-        assert!(!answer.head.contains("retry-after") && !answer.body.contains("secret"), "{answer:?}");
+        assert!(
+            !answer.head.contains("retry-after") && !answer.body.contains("secret"),
+            "{answer:?}"
+        );
     }
 }
 
@@ -101,7 +111,11 @@
 
         let answer = site.get("/safe/x").await;
 
-        assert_eq!((answer.status, answer.body.as_str(), site.seen().len()), (200, "done", 2), "{reply:?}");
+        assert_eq!(
+            (answer.status, answer.body.as_str(), site.seen().len()),
+            (200, "done", 2),
+            "{reply:?}"
+        );
     }
 }
 
--- a/crates/mh_gateway/tests/site/mod.rs
+++ b/crates/mh_gateway/tests/site/mod.rs
@@ -7,9 +7,7 @@
 
 use mh_config::KeyHash;
 use mh_edge::{PortLimits, serve_with};
-use mh_gateway::{
-    Bounds, CallerLimits, Feed, Gateway, HeaderNames, HostRoute, Live, Plan, RegisteredServer, Update,
-};
+use mh_gateway::{Bounds, CallerLimits, Feed, Gateway, HeaderNames, HostRoute, Live, Plan, RegisteredServer, Update};
 use mh_types::Revision;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -33,9 +31,8 @@
 
 pub const OK: Reply =
     Reply::Keep("HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 4\r\n\r\ndone");
-pub const SHED: Reply = Reply::Keep(
-    "HTTP/1.1 503 Busy\r\nmangohook-request-id: ID\r\nmangohook-not-run: 1\r\ncontent-length: 0\r\n\r\n",
-);
+pub const SHED: Reply =
+    Reply::Keep("HTTP/1.1 503 Busy\r\nmangohook-request-id: ID\r\nmangohook-not-run: 1\r\ncontent-length: 0\r\n\r\n");
 pub const FAILED: Reply =
     Reply::Keep("HTTP/1.1 500 No\r\nmangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 2\r\n\r\nno");
 
@@ -196,10 +193,15 @@
             return;
         }
         buf.push_str(&String::from_utf8_lossy(&piece[..len]));
-        let Some((head, rest)) = buf.split_once("\r\n\r\n") else { continue };
+        let Some((head, rest)) = buf.split_once("\r\n\r\n") else {
+            continue;
+        };
         let (head, rest) = (head.to_owned(), rest.to_owned());
         buf = rest;
-        let id = head.lines().find_map(|line| line.strip_prefix("mangohook-request-id: ")).unwrap_or_default();
+        let id = head
+            .lines()
+            .find_map(|line| line.strip_prefix("mangohook-request-id: "))
+            .unwrap_or_default();
         let reply = {
             let mut script = lock(&script);
             script.seen.push(head.clone());
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -15,12 +15,9 @@
 /// all servers, none would hold any of them, and the service would answer several times slower just when it is full.
 const MAX_SPREAD: usize = 2;
 
-/// Part of the time lost on a server without the object that counts against it; the rest is the investment that makes
-/// the server a second choice for the next requests.
-const WARMING_COST: f64 = 0.6;
-
-/// Answers that are predicted to miss the latency target count as this many times the lateness.
-const LATE_COST: f64 = 1.5;
+/// Weight of the time that a server without the object loses. It is more than the time itself, since the server drops
+/// another object for it.
+const WARMING_COST: f64 = 1.2;
 
 /// Factor on the cost of a server whose answers are all errors, less one.
 const ERROR_COST: f64 = 9.0;
@@ -239,11 +236,10 @@
         // even a server that holds the object would answer too late.
         let finish = wait + warm_work / slowness.max(1.0) + path;
         let cost_work = warm_work + (work - warm_work) * WARMING_COST;
-        let late = (wait + cost_work + path - ask.work.target_us() as f64).max(0.0);
         // Ties between idle servers go by weight, so that VMs agree on the second choice as well.
         let tie = (weight >> 40) as f64 / f64::from(1 << 24);
-        let cost = (wait + cost_work + path + late * LATE_COST) * (1.0 + ERROR_COST * track.error_rate(at))
-            + (1.0 - tie) * 0.02 * warm_work;
+        let cost =
+            (wait + cost_work + path) * (1.0 + ERROR_COST * track.error_rate(at)) + (1.0 - tie) * 0.02 * warm_work;
         Forecast {
             index,
             warm,
--- a/crates/mh_route/src/objects/work_times.rs
+++ b/crates/mh_route/src/objects/work_times.rs
@@ -14,7 +14,6 @@
     // All in microseconds.
     warm: AtomicU64,
     cold: AtomicU64,
-    target: u64,
 }
 
 impl WorkTimes {
@@ -24,15 +23,9 @@
         Self {
             warm: AtomicU64::new(target / 2),
             cold: AtomicU64::new(target * 3 / 2),
-            target,
         }
     }
 
-    /// The latency target in microseconds.
-    pub(crate) fn target_us(&self) -> u64 {
-        self.target
-    }
-
     pub(crate) fn expected_us(&self, warm: bool) -> u64 {
         let warm_us = self.warm.load(Ordering::Relaxed);
         if warm {
--- a/crates/mh_route/tests/load/mod.rs
+++ b/crates/mh_route/tests/load/mod.rs
@@ -94,7 +94,9 @@
         let object = rng.random_range(0..OBJECTS);
         let chosen = match policy {
             Policy::Random => Some((rng.random_range(0..SERVERS), None)),
-            Policy::LeastBusy => (0..SERVERS).min_by_key(|s| servers[*s].load(now)).map(|server| (server, None)),
+            Policy::LeastBusy => (0..SERVERS)
+                .min_by_key(|s| servers[*s].load(now))
+                .map(|server| (server, None)),
             Policy::ByObject => {
                 let ask = ObjectAsk::new(Some(object), Duration::from_millis(TIMEOUT_MS), &work);
                 pool.place(at(now), &ask, rng.random()).ok().map(|placed| {
--- a/crates/mh_route/tests/objects.rs
+++ b/crates/mh_route/tests/objects.rs
@@ -112,7 +112,10 @@
         }
     };
 
-    assert!(held.len() >= 4 && refused.room_in().is_some_and(|wait| wait > Duration::ZERO), "{refused:?}");
+    assert!(
+        held.len() >= 4 && refused.room_in().is_some_and(|wait| wait > Duration::ZERO),
+        "{refused:?}"
+    );
     drop(held);
     assert!(pool.place(now, &ask, 1).is_ok());
 }
@@ -291,7 +294,13 @@
     let random = load::play(load::Policy::Random);
     let least_busy = load::play(load::Policy::LeastBusy);
 
-    println!("in time of {}: by object {by_object}, random {random}, least busy {least_busy}", load::REQUESTS);
+    println!(
+        "in time of {}: by object {by_object}, random {random}, least busy {least_busy}",
+        load::REQUESTS
+    );
     assert!(by_object > load::REQUESTS * 8 / 10, "{by_object}");
-    assert!(by_object > random * 3 / 2 && by_object > least_busy * 3 / 2, "{by_object} {random} {least_busy}");
+    assert!(
+        by_object > random * 3 / 2 && by_object > least_busy * 3 / 2,
+        "{by_object} {random} {least_busy}"
+    );
 }
