--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use tokio::time::{Instant, MissedTickBehavior};
 
+use super::list_keeping::keep;
 use super::shift_write::run_shifts;
 use super::{Datagram, QuotaDesk};
 use crate::Feed;
@@ -113,7 +114,11 @@
         alive.push(vm.vm.clone());
         callers.push((vm.region.clone(), vm.callers));
     }
+    let dead = world.vms().filter(|vm| view.state(&vm.vm) == Some(State::Dead));
+    let dead: Vec<VmName> = dead.map(|vm| vm.vm.clone()).collect();
     let own = node.announced();
+    let is_listed = world.vms().any(|vm| vm.vm == own.vm);
+    let unlisted = world.has_read(Feed::Vms) && !is_listed && !node.gateway.is_leaving();
     if !alive.contains(&own.vm) && !node.gateway.is_leaving() {
         alive.push(own.vm);
         callers.push((own.region, own.callers));
@@ -121,6 +126,11 @@
     let listed = world.vms().count().max(1);
     drop(members);
     drop(world);
+    let mut list_keeping = lock(&node.list_keeping);
+    let due = list_keeping.due(node.gateway.vm(), &alive, dead, now);
+    let unlisted = unlisted && list_keeping.may_try(node.gateway.vm(), now);
+    drop(list_keeping);
+    keep(node, due, unlisted);
     node.set_vms(alive.len(), listed, callers);
     (alive, node.sharing_vms())
 }
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::ports;
-use crate::control::{Datagram, QuotaDesk, World, announce, follow, run_members};
+use crate::control::{Datagram, ListKeeping, QuotaDesk, World, announce, follow, run_members};
 use crate::{
     AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase,
     ShiftRecord, Source, Update,
@@ -48,6 +48,7 @@
     take_number: AtomicU64,
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
+    pub(crate) list_keeping: Mutex<ListKeeping>,
     list: Mutex<List>,
     shift_writes: Mutex<HashMap<(ServiceName, ShiftPhase), Instant>>,
     sharing: AtomicU32,
@@ -114,6 +115,7 @@
             take_number: AtomicU64::new(0),
             socket: peers,
             metrics: OnceLock::new(),
+            list_keeping: Mutex::default(),
             list: Mutex::default(),
             shift_writes: Mutex::default(),
             sharing: AtomicU32::new(1),
@@ -135,6 +137,7 @@
             tokio::spawn(follow(Arc::clone(&node), feed));
         }
         tokio::spawn(run_members(Arc::clone(&node)));
+        lock(&node.list_keeping).may_try(node.gateway.vm(), Instant::now());
         tokio::spawn(announce(Arc::clone(&node)));
         ports::serve_health(health, Arc::clone(&node));
         ports::serve_lookups(lookups, Arc::clone(&node));
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -135,7 +135,7 @@
 
     fn refuse(&self, refusal: Refusal, id: &str, id_header: &HeaderValue, arrived: Instant) -> Response<AnswerBody> {
         let (counter, event) = match refusal.run {
-            Run::NotRun => (&self.counters.refused, Event::RequestRefused),
+            Run::NotRun => (&self.counters.refused, Event::RequestTurnedAway),
             Run::Unknown => (&self.counters.failed, Event::RequestFailed),
         };
         add(counter);
