Complete a shift only with evidence, and take it back at its deadline

Ruled out: a record that was lost; the state after the restart was read from the store.

Change: the end needs the verdict 'good', and a shift that has not ended at its deadline is taken back; the old servers run until then. A decision is logged when it is written, not at each look.

Measured: the test of the lost evidence fails without the change (Done instead of none).

--- a/crates/mh_gateway/src/control/shift_desk.rs
+++ b/crates/mh_gateway/src/control/shift_desk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mh_shift::{Canary, CanaryLimits, Verdict};
-use mh_types::{Event, ServiceName, emit};
+use mh_types::ServiceName;
 
 use crate::{ActiveShift, ShiftOrder, ShiftPhase, ShiftRecord};
 
@@ -64,6 +64,14 @@
         out
     }
 
+    /// The evidence about a shift, for log lines.
+    pub(super) fn evidence(&self, service: &ServiceName) -> String {
+        let canary = self.canaries.get(service);
+        canary.map_or_else(String::new, |(_, canary)| {
+            format!("{}: {}", canary.verdict(), canary.summary())
+        })
+    }
+
     /// Sets whether this VM is a canary of a shift; returns whether that changed.
     pub(super) fn set_canary(
         &mut self,
@@ -115,16 +123,7 @@
             });
         };
         let (_, canary) = self.canaries.get(service)?;
-        let verdict = canary.verdict();
-        let phase = next_phase(held, order, verdict, RANK_DELAY * rank as u32, clock)?;
-        emit!(
-            Event::ShiftDecided,
-            service = service,
-            to = order.to,
-            phase = format_args!("{phase:?}"),
-            verdict = verdict,
-            evidence = canary.summary()
-        );
+        let phase = next_phase(held, order, canary.verdict(), RANK_DELAY * rank as u32, clock)?;
         Some(ShiftRecord { phase, ..held.clone() })
     }
 }
@@ -143,6 +142,11 @@
         return Some(ShiftPhase::TakenBack);
     }
     let deadline = held.started + order.duration;
+    // A shift that has not ended by its deadline is taken back, as when all VMs restarted just before it and the evidence
+    // is lost. The old servers run on until it is recorded as done.
+    if clock >= deadline {
+        return Some(ShiftPhase::TakenBack);
+    }
     // A short shift still spends most of its time on exposure.
     let lead = |lead: Duration| deadline.saturating_sub(lead.min(order.duration / 4)) + delay.min(DONE_LEAD / 2);
     match held.phase {
@@ -152,7 +156,11 @@
             _ if clock >= lead(DONE_LEAD) => Some(ShiftPhase::TakenBack),
             _ => None,
         },
-        ShiftPhase::Switching if clock >= lead(DONE_LEAD) => Some(ShiftPhase::Done),
+        ShiftPhase::Switching if clock >= lead(DONE_LEAD) && verdict == Verdict::Good => Some(ShiftPhase::Done),
         _ => None,
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/shift_desk.rs"]
+mod tests;
--- a/crates/mh_gateway/src/control/shift_write.rs
+++ b/crates/mh_gateway/src/control/shift_write.rs
@@ -28,6 +28,13 @@
         let record = world.records.get(&service);
         let due = world.desk.next_record(&service, &order, record, rank, clock);
         if let Some(due) = due.filter(|due| node.may_write(&service, due.phase, now)) {
+            emit!(
+                Event::ShiftDecided,
+                service = service,
+                to = due.to,
+                phase = format_args!("{:?}", due.phase),
+                evidence = world.desk.evidence(&service)
+            );
             tokio::spawn(write(Arc::clone(node), service, due));
         }
     }
--- /dev/null
+++ b/crates/mh_gateway/tests/unit/shift_desk.rs
@@ -0,0 +1,93 @@
+//! The next state of a shift.
+
+use std::time::Duration;
+
+use mh_shift::Verdict;
+
+use super::{ShiftDesk, next_phase};
+use crate::{ShiftOrder, ShiftPhase, ShiftRecord};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn order() -> ShiftOrder {
+    ShiftOrder {
+        to: "v2".into(),
+        duration: SECOND * 16,
+        version: 5,
+    }
+}
+
+fn record(phase: ShiftPhase) -> ShiftRecord {
+    ShiftRecord {
+        to: "v2".into(),
+        order: 5,
+        started: SECOND * 100,
+        phase,
+        version: 9,
+    }
+}
+
+/// The next phase `ms` before the deadline.
+fn next(phase: ShiftPhase, verdict: Verdict, ms: u64) -> Option<ShiftPhase> {
+    let clock = SECOND * 116 - Duration::from_millis(ms);
+    next_phase(&record(phase), &order(), verdict, Duration::ZERO, clock)
+}
+
+/// Guards against exposing a version that was found bad, at any time.
+#[test]
+fn a_fault_takes_a_shift_back_at_once() {
+    for verdict in [Verdict::Failing, Verdict::Slow] {
+        for phase in [ShiftPhase::Exposing, ShiftPhase::Switching] {
+            assert_eq!(next(phase, verdict, 15_000), Some(ShiftPhase::TakenBack));
+        }
+    }
+}
+
+/// Guards against a good version that misses its deadline.
+#[test]
+fn a_good_version_is_done_before_the_deadline() {
+    assert_eq!(next(ShiftPhase::Exposing, Verdict::Good, 5_000), None);
+    assert_eq!(
+        next(ShiftPhase::Exposing, Verdict::Good, 1_000),
+        Some(ShiftPhase::Switching)
+    );
+    assert_eq!(next(ShiftPhase::Switching, Verdict::Good, 1_000), None);
+    assert_eq!(next(ShiftPhase::Switching, Verdict::Good, 500), Some(ShiftPhase::Done));
+}
+
+/// Guards against completing a shift without evidence. Seen on Kovacik trouble-1, seed 379764481915: all VMs lost power
+/// between the switch and the end, and the ones that started again recorded a bad version as done.
+#[test]
+fn a_shift_that_lost_its_evidence_is_taken_back() {
+    assert_eq!(next(ShiftPhase::Switching, Verdict::Open, 500), None);
+    assert_eq!(
+        next(ShiftPhase::Switching, Verdict::Open, 0),
+        Some(ShiftPhase::TakenBack)
+    );
+    assert_eq!(
+        next(ShiftPhase::Exposing, Verdict::Good, 0),
+        Some(ShiftPhase::TakenBack)
+    );
+}
+
+/// Guards against a shift that changes after its end.
+#[test]
+fn an_ended_shift_stays() {
+    for phase in [ShiftPhase::Done, ShiftPhase::TakenBack] {
+        assert_eq!(next(phase, Verdict::Failing, 0), None);
+    }
+}
+
+/// Guards against a new order that is answered by the record of the one before.
+#[test]
+fn a_new_order_starts_a_new_record() {
+    let newer = ShiftOrder { version: 6, ..order() };
+
+    let due = ShiftDesk::default().next_record(&"s".into(), &newer, Some(&record(ShiftPhase::Done)), 0, SECOND * 200);
+
+    let due = due.expect("a record is due");
+    assert_eq!(
+        (due.phase, due.order, due.version, due.started),
+        (ShiftPhase::Exposing, 6, 9, SECOND * 200)
+    );
+}
