--- a/crates/mh_gateway/tests/unit/shift_desk.rs
+++ b/crates/mh_gateway/tests/unit/shift_desk.rs
@@ -29,7 +29,7 @@
 
 /// The next phase `ms` before the deadline.
 fn next(phase: ShiftPhase, verdict: Verdict, ms: u64) -> Option<ShiftPhase> {
-    let clock = SECOND * 116 - Duration::from_millis(ms);
+    let clock = (SECOND * 116).saturating_sub(Duration::from_millis(ms));
     next_phase(&record(phase), &order(), verdict, Duration::ZERO, clock)
 }
 
