--- /dev/null
+++ b/crates/mh_edge/src/admission.rs
@@ -0,0 +1,32 @@
+use std::time::Duration;
+
+use mh_budget::{Answer, Decision, Limiter};
+use mh_types::VmName;
+use tokio::time::Instant;
+
+/// Takes one request from a limit, here or at a VM that has some left; `ask` asks another VM.
+///
+/// # Errors
+///
+/// The request was refused; the wait until the limit may allow it, if that is known.
+pub async fn take_one<F: Future<Output = Option<Answer>>>(
+    limiter: &Limiter,
+    ask: impl Fn(VmName) -> F,
+) -> Result<(), Option<Duration>> {
+    let mut decision = limiter.decide(Instant::now, 1);
+    let mut asked = 0;
+    loop {
+        let vm = match decision {
+            Decision::Admit => return Ok(()),
+            Decision::Refuse { retry_after } => return Err(retry_after),
+            Decision::Ask(vm) => vm,
+        };
+        let answer = ask(vm.clone()).await;
+        limiter.on_answer(&vm, answer);
+        if answer.is_some_and(|answer| answer.admitted) {
+            return Ok(());
+        }
+        asked += 1;
+        decision = limiter.decide_again(Instant::now, 1, asked);
+    }
+}
--- a/crates/mh_edge/src/backends.rs
+++ b/crates/mh_edge/src/backends.rs
@@ -63,14 +63,14 @@
     pub(crate) fn sent(&mut self, body_is_whole: bool) {
         self.sent_at = Instant::now();
         if let Some(pick) = self.pick.as_mut().filter(|_| !body_is_whole) {
-            pick.owes_nothing(self.sent_at);
+            pick.exempt_from_silence(self.sent_at);
         }
     }
 
     /// Notes the answer's head; it is recorded when the answer has ended.
     pub(crate) fn answered(&mut self, status: StatusCode, closes: bool) {
         if let Some(pick) = &mut self.pick {
-            pick.owes_nothing(Instant::now());
+            pick.exempt_from_silence(Instant::now());
         }
         self.outcome = if status == StatusCode::SERVICE_UNAVAILABLE {
             if closes { Outcome::Closing } else { Outcome::Shed }
--- a/crates/mh_edge/src/edge.rs
+++ b/crates/mh_edge/src/edge.rs
@@ -10,13 +10,13 @@
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
-use mh_budget::Decision;
 use mh_config::{Access, CompiledRoute, Execution};
 use mh_fresh::Gate;
 use mh_once::{Owner, TableLimits};
 use mh_types::{Code, Event, OrgName, Run, VmName, emit};
 use tokio::time::Instant;
 
+use crate::admission::take_one;
 use crate::answer_body::AnswerBody;
 use crate::deadline::Deadline;
 use crate::forward::{Forward, Payload};
@@ -225,30 +225,12 @@
     async fn admit(&self, live: &Live, org: &OrgName) -> Result<(), Refusal> {
         let refused = || Refusal::new(Code::RateExceeded, Run::NotRun);
         let limiter = live.limiters.get(org).ok_or_else(refused)?;
-        let mut decision = limiter.decide(Instant::now, 1);
-        let mut asked = 0;
-        loop {
-            let vm = match decision {
-                Decision::Admit => return Ok(()),
-                Decision::Refuse { retry_after } => {
-                    return Err(Refusal {
-                        retry_after,
-                        ..refused()
-                    });
-                }
-                Decision::Ask(vm) => vm,
-            };
-            let answer = match self.links.get() {
-                Some(links) => links.ask_token(&vm, org).await,
-                None => None,
-            };
-            limiter.on_answer(&vm, answer);
-            if answer.is_some_and(|answer| answer.admitted) {
-                return Ok(());
-            }
-            asked += 1;
-            decision = limiter.decide_again(Instant::now, 1, asked);
-        }
+        let links = self.links.get();
+        let ask = |vm: VmName| async move { links?.ask_token(&vm, org).await };
+        take_one(limiter, ask).await.map_err(|retry_after| Refusal {
+            retry_after,
+            ..refused()
+        })
     }
 
     /// Holds a small body in memory, so that the request can be sent again.
--- a/crates/mh_edge/src/lib.rs
+++ b/crates/mh_edge/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert_eq!(edge.live().snapshot.revision.0, 0);
 //! ```
 
+mod admission;
 mod answer_body;
 mod backends;
 mod cfg;
@@ -35,6 +36,7 @@
 mod upload;
 mod version_gate;
 
+pub use admission::take_one;
 pub use answer_body::{AnswerBody, BodyError, Ending};
 pub use backends::{Backends, Picked};
 pub use cfg::EdgeCfg;
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use tokio::time::{Instant, MissedTickBehavior};
 
-use super::list_keeping::keep;
 use super::shift_write::run_shifts;
-use super::{Datagram, QuotaDesk};
+use super::stale_vms::update_list;
+use super::{Datagram, QuotaController};
 use crate::Feed;
 use crate::node::{GatewayNode, lock};
 use crate::pause::BootClock;
@@ -38,7 +38,7 @@
             _ = ticks.tick() => {
                 let now = Instant::now();
                 let suspended = boot.suspended();
-                let stalled = Some(now - last_tick).filter(|gap| *gap >= QuotaDesk::pause_limit());
+                let stalled = Some(now - last_tick).filter(|gap| *gap >= QuotaController::pause_limit());
                 if let Some(time) = suspended.or(stalled) {
                     emit!(Event::Suspended, for_ms = time.as_millis());
                     node.start_epoch();
@@ -126,11 +126,11 @@
     let listed = world.vms().count().max(1);
     drop(members);
     drop(world);
-    let mut list_keeping = lock(&node.list_keeping);
-    let due = list_keeping.due(node.gateway.vm(), &alive, dead, now);
-    let unlisted = unlisted && list_keeping.may_try(node.gateway.vm(), now);
-    drop(list_keeping);
-    keep(node, due, unlisted);
+    let mut stale = lock(&node.stale_vms);
+    let due = stale.due(node.gateway.vm(), &alive, dead, now);
+    let unlisted = unlisted && stale.may_try(node.gateway.vm(), now);
+    drop(stale);
+    update_list(node, due, unlisted);
     node.set_vms(alive.len(), listed, callers);
     (alive, node.sharing_vms())
 }
--- a/crates/mh_gateway/src/control/quota_desk.rs
+++ b/crates/mh_gateway/src/control/quota_controller.rs
@@ -38,7 +38,7 @@
 /// Which VM owns which slots of a quota follows from the list of VMs in the store, so that every VM finds the same
 /// owners without a write. Unused shares are lent to the VMs that need them.
 #[derive(Debug)]
-pub(crate) struct QuotaDesk {
+pub(crate) struct QuotaController {
     me: Arc<Me>,
     lending: Arc<LendingSettings>,
     started: Instant,
@@ -54,7 +54,7 @@
     adopted: Slots,
 }
 
-impl QuotaDesk {
+impl QuotaController {
     pub(crate) fn new(me: Me, now: Instant) -> Self {
         Self {
             me: Arc::new(me),
--- a/crates/mh_gateway/src/control/shift_desk.rs
+++ b/crates/mh_gateway/src/control/shift_controller.rs
@@ -24,11 +24,11 @@
 
 /// Canaries of the shifts that this VM takes part in.
 #[derive(Debug, Default)]
-pub(crate) struct ShiftDesk {
+pub(crate) struct ShiftController {
     canaries: HashMap<ServiceName, (u64, Arc<Canary>)>,
 }
 
-impl ShiftDesk {
+impl ShiftController {
     /// The shifts as requests see them.
     pub(super) fn active(
         &self,
@@ -162,5 +162,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/shift_desk.rs"]
+#[path = "../../tests/unit/shift_controller.rs"]
 mod tests;
--- a/crates/mh_gateway/src/control/shift_write.rs
+++ b/crates/mh_gateway/src/control/shift_write.rs
@@ -5,7 +5,7 @@
 use std::hash::Hasher;
 use tokio::time::Instant;
 
-use super::shift_desk::CANARY_VMS;
+use super::shift_controller::CANARY_VMS;
 use crate::node::{GatewayNode, lock};
 use crate::{ShiftOrder, ShiftRecord, Written};
 
@@ -21,19 +21,23 @@
     for (service, order) in orders {
         let rank = rank(&service, alive, node.gateway.vm());
         let is_canary = rank.is_some_and(|rank| rank < CANARY_VMS);
-        changed |= world.desk.set_canary(&service, &order, is_canary, share, vms);
+        changed |= world
+            .shift_controller
+            .set_canary(&service, &order, is_canary, share, vms);
         let Some(rank) = rank.filter(|rank| *rank < CANARY_VMS) else {
             continue;
         };
         let record = world.records.get(&service);
-        let due = world.desk.next_record(&service, &order, record, rank, clock);
+        let due = world
+            .shift_controller
+            .next_record(&service, &order, record, rank, clock);
         if let Some(due) = due.filter(|due| node.may_write(&service, due.phase, now)) {
             emit!(
                 Event::ShiftDecided,
                 service = service,
                 to = due.to,
                 phase = format_args!("{:?}", due.phase),
-                evidence = world.desk.evidence(&service)
+                evidence = world.shift_controller.evidence(&service)
             );
             tokio::spawn(write(Arc::clone(node), service, due));
         }
--- a/crates/mh_gateway/src/control/list_keeping.rs
+++ b/crates/mh_gateway/src/control/stale_vms.rs
@@ -15,14 +15,15 @@
 /// Time between two tries to list this VM again, or to remove the same entry.
 const RETRY: Duration = Duration::from_secs(5);
 
-/// Keeps the list of VMs true: lists this VM again if its entry was removed, and removes entries of VMs that are gone.
+/// Finds listed VMs that are gone for good, so that their entries are removed.
 #[derive(Debug, Default)]
-pub(crate) struct ListKeeping {
+pub(crate) struct StaleVms {
     dead_since: HashMap<VmName, Instant>,
+    /// When an entry was last written or removed by this VM.
     tried: HashMap<VmName, Instant>,
 }
 
-impl ListKeeping {
+impl StaleVms {
     /// The entries that this VM should remove now. `alive` are the VMs believed alive; one of them removes.
     pub(crate) fn due(&mut self, me: &VmName, alive: &[VmName], dead: Vec<VmName>, now: Instant) -> Vec<VmName> {
         self.dead_since.retain(|vm, _| dead.contains(vm));
@@ -49,8 +50,8 @@
     }
 }
 
-/// Removes entries, and lists this VM if `unlisted`.
-pub(super) fn keep(node: &Arc<GatewayNode>, due: Vec<VmName>, unlisted: bool) {
+/// Removes the entries `due`, and lists this VM again if its own entry was removed.
+pub(super) fn update_list(node: &Arc<GatewayNode>, due: Vec<VmName>, unlisted: bool) {
     for vm in due {
         let node = Arc::clone(node);
         tokio::spawn(async move {
@@ -70,5 +71,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/list_keeping.rs"]
+#[path = "../../tests/unit/stale_vms.rs"]
 mod tests;
--- a/crates/mh_gateway/src/control/world.rs
+++ b/crates/mh_gateway/src/control/world.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::known_server::KnownServer;
-use super::shift_desk::ShiftDesk;
+use super::shift_controller::ShiftController;
 use crate::{
     AnnouncedVm, Batch, Bounds, Feed, Live, Plan, RegisteredServer, ServiceBackends, ShiftOrder, ShiftRecord, Update,
 };
@@ -33,7 +33,7 @@
     entries_return_by: Option<Instant>,
     pub(super) orders: HashMap<ServiceName, ShiftOrder>,
     pub(super) records: HashMap<ServiceName, ShiftRecord>,
-    pub(super) desk: ShiftDesk,
+    pub(super) shift_controller: ShiftController,
     /// When the last whole read of the list of VMs began.
     vms_read_at: Option<Instant>,
     /// The store's clock at a moment of this VM's.
@@ -57,7 +57,7 @@
             entries_return_by: None,
             orders: HashMap::new(),
             records: HashMap::new(),
-            desk: ShiftDesk::default(),
+            shift_controller: ShiftController::default(),
             vms_read_at: None,
             clock: None,
         }
@@ -167,7 +167,7 @@
             backends,
             work,
             quotas: previous.quotas.clone(),
-            shifts: self.desk.active(&self.orders, &self.records),
+            shifts: self.shift_controller.active(&self.orders, &self.records),
             vms: previous.vms.clone(),
             ready: is_known,
             plan: Some(plan),
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::ports;
-use crate::control::{Datagram, ListKeeping, QuotaDesk, World, announce, follow, run_members};
+use crate::control::{Datagram, QuotaController, StaleVms, World, announce, follow, run_members};
 use crate::{
     AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase,
     ShiftRecord, Source, Update,
@@ -43,12 +43,12 @@
     pub(crate) source: Arc<dyn Source>,
     pub(crate) world: Mutex<World>,
     pub(crate) members: Mutex<Members>,
-    pub(crate) quotas: Mutex<QuotaDesk>,
+    pub(crate) quotas: Mutex<QuotaController>,
     takes: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
     take_number: AtomicU64,
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
-    pub(crate) list_keeping: Mutex<ListKeeping>,
+    pub(crate) stale_vms: Mutex<StaleVms>,
     list: Mutex<List>,
     shift_writes: Mutex<HashMap<(ServiceName, ShiftPhase), Instant>>,
     sharing: AtomicU32,
@@ -110,12 +110,12 @@
             source,
             world: Mutex::new(World::new(cfg.region.clone(), regions, bounds)),
             members: Mutex::new(members(&cfg, &bounds, incarnation)),
-            quotas: Mutex::new(QuotaDesk::new(me, Instant::now())),
+            quotas: Mutex::new(QuotaController::new(me, Instant::now())),
             takes: Mutex::default(),
             take_number: AtomicU64::new(0),
             socket: peers,
             metrics: OnceLock::new(),
-            list_keeping: Mutex::default(),
+            stale_vms: Mutex::default(),
             list: Mutex::default(),
             shift_writes: Mutex::default(),
             sharing: AtomicU32::new(1),
@@ -137,7 +137,7 @@
             tokio::spawn(follow(Arc::clone(&node), feed));
         }
         tokio::spawn(run_members(Arc::clone(&node)));
-        lock(&node.list_keeping).may_try(node.gateway.vm(), Instant::now());
+        lock(&node.stale_vms).may_try(node.gateway.vm(), Instant::now());
         tokio::spawn(announce(Arc::clone(&node)));
         ports::serve_health(health, Arc::clone(&node));
         ports::serve_lookups(lookups, Arc::clone(&node));
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -1,5 +1,5 @@
 use std::hash::Hasher;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -8,8 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Method, Request, Response};
-use mh_budget::Decision;
-use mh_edge::{AnswerBody, Refusal, total_bytes};
+use mh_edge::{AnswerBody, Refusal, take_one, total_bytes};
 use mh_types::{Code, Event, Run, VmName, emit};
 use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
@@ -213,40 +212,25 @@
         }
         let limiter = live.quotas.get(&org.name);
         let limiter = limiter.ok_or_else(|| refusal_with_wait(Code::NotCurrent, NOT_READY_WAIT))?;
-        let mut decision = limiter.decide(Instant::now, 1);
-        let mut asked = 0;
-        loop {
-            let vm = match decision {
-                Decision::Admit => return Ok(()),
-                Decision::Refuse { retry_after } => {
-                    emit!(
-                        Event::QuotaRefused,
-                        request = cx.id,
-                        organisation = org.name,
-                        rate_per_s = org.rate_per_s,
-                        burst = org.burst,
-                        revision = cx.revision,
-                        left_here = limiter.meter().level_micros(Instant::now()) as f64 / mh_budget::MICROS as f64,
-                        asked = asked
-                    );
-                    return Err(refusal_with_wait(
-                        Code::RateExceeded,
-                        retry_after.unwrap_or(NOT_READY_WAIT),
-                    ));
-                }
-                Decision::Ask(vm) => vm,
-            };
-            let answer = match self.peers.get() {
-                Some(peers) => peers.ask(&vm, &org.name).await,
-                None => None,
-            };
-            limiter.on_answer(&vm, answer);
-            if answer.is_some_and(|answer| answer.admitted) {
-                return Ok(());
-            }
-            asked += 1;
-            decision = limiter.decide_again(Instant::now, 1, asked);
-        }
+        let asked = AtomicU32::new(0);
+        let peers = self.peers.get();
+        let ask = |vm: VmName| {
+            asked.fetch_add(1, Ordering::Relaxed);
+            async move { peers?.ask(&vm, &org.name).await }
+        };
+        take_one(limiter, ask).await.map_err(|retry_after| {
+            emit!(
+                Event::QuotaRefused,
+                request = cx.id,
+                organisation = org.name,
+                rate_per_s = org.rate_per_s,
+                burst = org.burst,
+                revision = cx.revision,
+                left_here = limiter.meter().level_micros(Instant::now()) as f64 / mh_budget::MICROS as f64,
+                asked = asked.load(Ordering::Relaxed)
+            );
+            refusal_with_wait(Code::RateExceeded, retry_after.unwrap_or(NOT_READY_WAIT))
+        })
     }
 
     fn context(
--- a/crates/mh_gateway/tests/unit/shift_desk.rs
+++ b/crates/mh_gateway/tests/unit/shift_controller.rs
@@ -4,7 +4,7 @@
 
 use mh_shift::Verdict;
 
-use super::{ShiftDesk, next_phase};
+use super::{ShiftController, next_phase};
 use crate::{ShiftOrder, ShiftPhase, ShiftRecord};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -83,7 +83,8 @@
 fn a_new_order_starts_a_new_record() {
     let newer = ShiftOrder { version: 6, ..order() };
 
-    let due = ShiftDesk::default().next_record(&"s".into(), &newer, Some(&record(ShiftPhase::Done)), 0, SECOND * 200);
+    let due =
+        ShiftController::default().next_record(&"s".into(), &newer, Some(&record(ShiftPhase::Done)), 0, SECOND * 200);
 
     let due = due.expect("a record is due");
     assert_eq!(
--- a/crates/mh_gateway/tests/unit/list_keeping.rs
+++ b/crates/mh_gateway/tests/unit/stale_vms.rs
@@ -5,7 +5,7 @@
 use mh_types::VmName;
 use tokio::time::Instant;
 
-use super::ListKeeping;
+use super::StaleVms;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -18,7 +18,7 @@
 fn one_vm_removes_an_entry_that_was_dead_for_long() {
     let now = Instant::now();
     let alive = vms(&["a", "b", "c"]);
-    let (mut first, mut second) = (ListKeeping::default(), ListKeeping::default());
+    let (mut first, mut second) = (StaleVms::default(), StaleVms::default());
 
     for keeping in [&mut first, &mut second] {
         assert!(keeping.due(&"a".into(), &alive, vms(&["d"]), now).is_empty());
@@ -35,7 +35,7 @@
 fn a_vm_that_returns_counts_anew() {
     let now = Instant::now();
     let alive = vms(&["a", "b", "c"]);
-    let mut keeping = ListKeeping::default();
+    let mut keeping = StaleVms::default();
     keeping.due(&"a".into(), &alive, vms(&["d"]), now);
     keeping.due(&"a".into(), &alive, Vec::new(), now + SECOND * 10);
 
@@ -50,7 +50,7 @@
 #[test]
 fn a_vm_that_is_cut_off_removes_nobody() {
     let now = Instant::now();
-    let mut keeping = ListKeeping::default();
+    let mut keeping = StaleVms::default();
     keeping.due(&"a".into(), &vms(&["a"]), vms(&["b", "c"]), now);
 
     assert!(
--- a/crates/mh_route/src/pick.rs
+++ b/crates/mh_route/src/pick.rs
@@ -39,9 +39,8 @@
         self.trial
     }
 
-    /// Records that the server no longer owes anything: its answer began, or its caller still sends the request. A
-    /// server that waits for callers is not silent.
-    pub fn owes_nothing(&mut self, now: Instant) {
+    /// Leaves the request out of the detection of silent servers, because its answer began or its caller still sends it.
+    pub fn exempt_from_silence(&mut self, now: Instant) {
         if self.waits {
             self.waits = false;
             let waiting = self.seen.stop_waiting();
--- a/crates/mh_route/tests/failures.rs
+++ b/crates/mh_route/tests/failures.rs
@@ -283,7 +283,7 @@
     let mut unread = Vec::new();
     for n in 0..12 {
         let mut pick = pool.pick(start + ms(30), &idempotent(), n).unwrap();
-        pick.owes_nothing(start + ms(31));
+        pick.exempt_from_silence(start + ms(31));
         unread.push(pick);
     }
 
