Let two VMs of a region read the store and vouch to the others

Cause: every VM followed the store's four feeds, so each change of a server's entry woke every VM.

Change: the new crate mh_relay decides which VMs read (two of each region, in different failure domains) and keeps the latest changes. Readers send versions and small changes to the VMs of their region in datagrams; larger or missed changes are fetched over HTTP from the reader. A VM that hears no reader for half of the time in which settings must be in force reads for itself, later ones in the order wait longer, and a VM that the store refuses relies on the others. A restarted VM whose entry still holds no longer writes it again. After an outage few VMs and feeds try often.

Ruled out: agreed delegates (an election needs the store that it is to spare); long waits of the readers' calls (a silent reader would be found after the bound on settings).

Tests: mh_relay/tests (orders of faults on a simulated clock, a bounded log against an unbounded one), mh_gateway tests/relay.rs (fails before the change: every VM calls the store) and unit tests of what is accepted.

--- a/crates/mh_gateway/src/bounds.rs
+++ b/crates/mh_gateway/src/bounds.rs
@@ -17,6 +17,8 @@
     pub retry_window: Duration,
     /// Part of a service's requests that an unproven version may get, over all VMs.
     pub exposure_share: f64,
+    /// Time within which a change of the settings must be in force on every VM.
+    pub settings_in_force: Duration,
     /// Time within which a server's entry is back after an outage of the source, if the server lives.
     pub entry_return: Duration,
 }
@@ -32,6 +34,7 @@
             retry_slack: 60.0,
             retry_window: Duration::from_secs(10),
             exposure_share: 0.1,
+            settings_in_force: Duration::from_secs(2),
             entry_return: Duration::from_secs(2),
         }
     }
--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -1,9 +1,12 @@
 mod announce_loop;
 mod datagram;
 mod feed_loop;
+mod feed_states;
 mod known_server;
 mod member_loop;
+mod news;
 mod quota_controller;
+mod relay;
 mod shift_controller;
 mod shift_write;
 mod stale_vms;
@@ -17,4 +20,5 @@
 pub(crate) use announce_loop::{announce, withdraw};
 pub(crate) use feed_loop::follow;
 pub(crate) use member_loop::run_members;
+pub(crate) use relay::{CHANGES_PATH, Relay, parse_query};
 pub(crate) use stale_vms::StaleVms;
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -2,11 +2,15 @@
 use mh_types::OrgName;
 use serde::{Deserialize, Serialize};
 
+use super::news::News;
+
 /// What one VM tells another in a datagram; any of them may be lost.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Datagram {
     /// A message of the membership protocol.
     Member(mh_member::Msg),
+    /// What a VM that reads the store holds.
+    News(News),
     /// Messages of the lending of quotas.
     Lend(Vec<mh_budget::Msg>),
     /// Asks to take one request from the receiver's share of an organisation's quota.
--- a/crates/mh_gateway/src/control/known_server.rs
+++ b/crates/mh_gateway/src/control/known_server.rs
@@ -34,6 +34,15 @@
         }
     }
 
+    /// The entry, with the time for which the server is still cold.
+    pub(crate) fn entry_at(&self, now: Instant) -> RegisteredServer {
+        let cold_for = self.cold_until.map(|until| until.saturating_duration_since(now));
+        RegisteredServer {
+            cold_for: cold_for.unwrap_or_default(),
+            ..self.entry.clone()
+        }
+    }
+
     /// Takes a newer entry of the same server.
     pub(crate) fn replace(&mut self, entry: RegisteredServer, now: Instant) {
         let (is_established, version_open_at) = (self.is_established, self.version_open_at);
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -51,13 +51,14 @@
 }
 
 /// Takes in a datagram of another VM.
-fn take(node: &GatewayNode, from: &VmName, datagram: Datagram) {
+fn take(node: &Arc<GatewayNode>, from: &VmName, datagram: Datagram) {
     let now = Instant::now();
     match datagram {
         Datagram::Member(msg) => {
             let out = lock(&node.members).on_msg(now, from, msg);
             node.send(out);
         }
+        Datagram::News(news) => node.on_news(from, news, now),
         Datagram::Lend(msgs) => {
             let out = lock(&node.quotas).on_msgs(from, &msgs, now);
             node.send_lending(out);
@@ -74,6 +75,7 @@
 
 fn tick(node: &Arc<GatewayNode>, now: Instant) {
     let (alive, vms) = update_members(node, now);
+    node.relay.on_tick(now);
     let changed = run_shifts(node, &alive, vms, now);
     if node.time_has_come(now) || changed {
         node.rebuild(now);
@@ -103,6 +105,9 @@
                 .collect(),
         };
         if node.list_changed(&list) {
+            let region = world.vms().filter(|vm| vm.region == node.cfg.region);
+            let region = region.map(|vm| (vm.vm.clone(), vm.domain.clone()));
+            node.relay.set_vms(region.collect(), now);
             members.on_list(now, &list);
         }
     }
@@ -117,7 +122,8 @@
     let dead = world.vms().filter(|vm| view.state(&vm.vm) == Some(State::Dead));
     let dead: Vec<VmName> = dead.map(|vm| vm.vm.clone()).collect();
     let own = node.announced();
-    let is_listed = world.vms().any(|vm| vm.vm == own.vm);
+    // A restarted VM whose entry still holds need not write it again.
+    let is_listed = world.vm(&own.vm) == Some(&own);
     let unlisted = world.has_read(Feed::Vms) && !is_listed && !node.gateway.is_leaving();
     if !alive.contains(&own.vm) && !node.gateway.is_leaving() {
         alive.push(own.vm);
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::ports;
-use crate::control::{Datagram, QuotaController, StaleVms, World, announce, follow, run_members};
+use crate::control::{Datagram, QuotaController, Relay, StaleVms, World, follow, run_members};
 use crate::{
     AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase,
     ShiftRecord, Source, Update,
@@ -44,6 +44,7 @@
     pub(crate) world: Mutex<World>,
     pub(crate) members: Mutex<Members>,
     pub(crate) quotas: Mutex<QuotaController>,
+    pub(crate) relay: Relay,
     takes: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
     take_number: AtomicU64,
     socket: UdpSocket,
@@ -98,6 +99,9 @@
             .await
             .map_err(bind_failed(listen.lookups))?;
         let peers = UdpSocket::bind(listen.peers).await.map_err(bind_failed(listen.peers))?;
+        let changes = TcpListener::bind(listen.peers)
+            .await
+            .map_err(bind_failed(listen.peers))?;
         let incarnation = Incarnation(jiff::Timestamp::now().as_microsecond().unsigned_abs());
         let me = Me {
             vm: cfg.vm.clone(),
@@ -111,6 +115,7 @@
             world: Mutex::new(World::new(cfg.region.clone(), regions, bounds)),
             members: Mutex::new(members(&cfg, &bounds, incarnation)),
             quotas: Mutex::new(QuotaController::new(me, Instant::now())),
+            relay: Relay::new(cfg.vm.clone(), bounds.settings_in_force, Instant::now()),
             takes: Mutex::default(),
             take_number: AtomicU64::new(0),
             socket: peers,
@@ -137,9 +142,8 @@
             tokio::spawn(follow(Arc::clone(&node), feed));
         }
         tokio::spawn(run_members(Arc::clone(&node)));
-        lock(&node.stale_vms).may_try(node.gateway.vm(), Instant::now());
-        tokio::spawn(announce(Arc::clone(&node)));
         ports::serve_health(health, Arc::clone(&node));
+        ports::serve_changes(changes, Arc::clone(&node));
         ports::serve_lookups(lookups, Arc::clone(&node));
         let server = ports::serve_callers(callers, &node).map_err(bind_failed(listen.callers))?;
         emit!(
@@ -151,11 +155,17 @@
         Ok((node, server))
     }
 
+    /// What answers the requests of callers.
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
     /// Takes new promises and regions from the settings file.
     pub fn reload(&self, cfg: &GatewaySettings) {
         let bounds = cfg.promises.bounds();
         emit!(Event::SettingsFileReloaded, vm = self.cfg.vm);
         self.gateway.set_bounds(bounds);
+        self.relay.set_limits(bounds.settings_in_force);
         lock(&self.world).reload(bounds, cfg.regions.clone());
         self.rebuild(Instant::now());
     }
@@ -173,10 +183,15 @@
     /// Sends a datagram to another VM; a lost one is made up for by later ones.
     pub(crate) fn send_to(&self, addr: SocketAddr, datagram: &Datagram) {
         if let Ok(bytes) = postcard::to_stdvec(&(self.gateway.vm(), datagram)) {
-            let _ = self.socket.try_send_to(&bytes, addr);
+            self.send_bytes(addr, &bytes);
         }
     }
 
+    /// Sends an encoded datagram.
+    pub(crate) fn send_bytes(&self, addr: SocketAddr, bytes: &[u8]) {
+        let _ = self.socket.try_send_to(bytes, addr);
+    }
+
     /// Sends messages of the membership protocol.
     pub(crate) fn send(&self, out: Outbox) {
         for sent in out {
@@ -203,10 +218,7 @@
 
     /// Where a listed VM takes messages.
     pub(crate) fn peer_addr(&self, vm: &VmName) -> Option<SocketAddr> {
-        lock(&self.world)
-            .vms()
-            .find(|listed| listed.vm == *vm)
-            .map(|listed| listed.peers)
+        lock(&self.world).vm(vm).map(|listed| listed.peers)
     }
 
     /// Asks another VM to take one request from its share of a quota.
@@ -246,6 +258,11 @@
         }
     }
 
+    /// Whether the list of VMs has this one as it is now.
+    pub(crate) fn is_listed(&self) -> bool {
+        lock(&self.world).vm(self.gateway.vm()) == Some(&self.announced())
+    }
+
     /// Makes the state for requests anew.
     pub(crate) fn rebuild(&self, now: Instant) {
         let mut world = lock(&self.world);
@@ -333,8 +350,10 @@
         {
             let mut world = lock(&self.world);
             let Some(clock) = world.store_clock(now) else { return };
+            // The feed tells the record again; until then nothing is known of other records up to its version.
             let batch = crate::Batch {
                 version: record.version,
+                changed: record.version,
                 clock,
                 updates: vec![Update::Shift(service.clone(), Some(record))],
             };
@@ -350,6 +369,7 @@
 
     /// Has everything read again.
     pub(crate) fn start_epoch(&self) {
+        self.relay.reset(Instant::now());
         self.epoch.send_modify(|epoch| *epoch += 1);
     }
 
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -14,6 +14,7 @@
 use tokio::time::Duration;
 
 use super::GatewayNode;
+use crate::control::{CHANGES_PATH, parse_query};
 use crate::request::add_lookup;
 
 /// VMs named in one look-up's answer at most.
@@ -76,6 +77,22 @@
     }));
 }
 
+/// Gives changes to other VMs of the region.
+pub(super) fn serve_changes(listener: TcpListener, node: Arc<GatewayNode>) {
+    tokio::spawn(accept(listener, node, |node, req| {
+        if req.uri().path() != CHANGES_PATH {
+            return text(StatusCode::NOT_FOUND, String::new());
+        }
+        let Some((feed, version)) = parse_query(req.uri().query().unwrap_or_default()) else {
+            return text(StatusCode::BAD_REQUEST, String::new());
+        };
+        match node.fetched(feed, version) {
+            Some(fetched) => Response::new(Full::new(fetched)),
+            None => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        }
+    }));
+}
+
 /// Serves look-ups.
 pub(super) fn serve_lookups(listener: TcpListener, node: Arc<GatewayNode>) {
     tokio::spawn(accept(listener, node, |node, req| {
--- a/crates/mh_gateway/src/plan.rs
+++ b/crates/mh_gateway/src/plan.rs
@@ -1,6 +1,7 @@
 mod caller_limits;
 mod host_route;
 mod plan_org;
+mod plan_parts;
 mod plan_service;
 mod target;
 
@@ -10,6 +11,7 @@
 use arcstr::ArcStr;
 use mh_config::KeyHash;
 use mh_types::{OrgName, Revision, ServiceName};
+use serde::{Deserialize, Serialize};
 
 pub use caller_limits::CallerLimits;
 pub use host_route::HostRoute;
@@ -17,8 +19,11 @@
 pub use plan_service::PlanService;
 pub use target::Target;
 
+use plan_parts::PlanParts;
+
 /// One revision of routes, organisations and services; immutable.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(from = "PlanParts", into = "PlanParts")]
 pub struct Plan {
     /// Revision, which only rises.
     pub revision: Revision,
--- a/crates/mh_gateway/src/plan/caller_limits.rs
+++ b/crates/mh_gateway/src/plan/caller_limits.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Limits on what callers send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Most bytes of headers.
     pub max_header_bytes: usize,
--- a/crates/mh_gateway/src/plan/host_route.rs
+++ b/crates/mh_gateway/src/plan/host_route.rs
@@ -2,11 +2,12 @@
 
 use arcstr::ArcStr;
 use mh_types::{RegionName, RouteName};
+use serde::{Deserialize, Serialize};
 
 use super::Target;
 
 /// Requests of one host below one path prefix.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HostRoute {
     /// Name, unique in the plan.
     pub name: RouteName,
--- a/crates/mh_gateway/src/plan/plan_org.rs
+++ b/crates/mh_gateway/src/plan/plan_org.rs
@@ -1,7 +1,8 @@
 use mh_types::{OrgName, RegionName};
+use serde::{Deserialize, Serialize};
 
 /// An organisation with its quota over the whole fleet.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlanOrg {
     /// Name.
     pub name: OrgName,
--- a/crates/mh_gateway/src/plan/plan_service.rs
+++ b/crates/mh_gateway/src/plan/plan_service.rs
@@ -1,7 +1,8 @@
 use mh_types::ServiceName;
+use serde::{Deserialize, Serialize};
 
 /// A service as the plan describes it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlanService {
     /// Name.
     pub name: ServiceName,
--- a/crates/mh_gateway/src/plan/target.rs
+++ b/crates/mh_gateway/src/plan/target.rs
@@ -1,7 +1,8 @@
 use mh_types::ServiceName;
+use serde::{Deserialize, Serialize};
 
 /// A service that answers a part of a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceName,
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -68,6 +68,9 @@
     /// See [`Bounds::retry_window`].
     #[serde(deserialize_with = "time_text::deserialize_option")]
     pub retry_window: Option<Duration>,
+    /// See [`Bounds::settings_in_force`].
+    #[serde(deserialize_with = "time_text::deserialize_option")]
+    pub settings_in_force: Option<Duration>,
     /// See [`Bounds::exposure_share`].
     pub exposure_share: Option<f64>,
 }
@@ -87,6 +90,7 @@
             retry_slack: self.retry_slack.unwrap_or(own.retry_slack),
             retry_window: self.retry_window.unwrap_or(own.retry_window),
             exposure_share: self.exposure_share.unwrap_or(own.exposure_share),
+            settings_in_force: self.settings_in_force.unwrap_or(own.settings_in_force),
             entry_return: own.entry_return,
         }
     }
--- a/crates/mh_gateway/src/source/batch.rs
+++ b/crates/mh_gateway/src/source/batch.rs
@@ -7,6 +7,8 @@
 pub struct Batch {
     /// Newest version that the read covers.
     pub version: u64,
+    /// Version of the newest of `updates`; 0 when there are none.
+    pub changed: u64,
     /// The store's steady clock at the time of the read.
     pub clock: Duration,
     /// What is known now, in the order in which it came about.
--- a/crates/mh_gateway/src/source/feed.rs
+++ b/crates/mh_gateway/src/source/feed.rs
@@ -1,7 +1,9 @@
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 /// A kind of data that the source tells the changes of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Feed {
     /// The operators' plan, shift orders and drained failure domains.
     Settings,
--- a/crates/mh_gateway/src/source/registered_server.rs
+++ b/crates/mh_gateway/src/source/registered_server.rs
@@ -2,9 +2,10 @@
 use std::time::Duration;
 
 use mh_types::{DomainName, ServiceName, VersionName};
+use serde::{Deserialize, Serialize};
 
 /// A backend server as it registers itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegisteredServer {
     /// Service that it belongs to.
     pub service: ServiceName,
--- a/crates/mh_gateway/src/source/shift_order.rs
+++ b/crates/mh_gateway/src/source/shift_order.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use mh_types::VersionName;
+use serde::{Deserialize, Serialize};
 
 /// An operator's order to move a service to a new version.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShiftOrder {
     /// The new version.
     pub to: VersionName,
--- a/crates/mh_gateway/src/source/shift_record.rs
+++ b/crates/mh_gateway/src/source/shift_record.rs
@@ -1,11 +1,12 @@
 use std::time::Duration;
 
 use mh_types::VersionName;
+use serde::{Deserialize, Serialize};
 
 use crate::ShiftPhase;
 
 /// How far a shift is, as recorded in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShiftRecord {
     /// The new version.
     pub to: VersionName,
--- a/crates/mh_gateway/src/source/update.rs
+++ b/crates/mh_gateway/src/source/update.rs
@@ -1,12 +1,13 @@
 use std::sync::Arc;
 
 use mh_types::{DomainName, ServerName, ServiceName, VmName};
+use serde::{Deserialize, Serialize};
 
 use super::{AnnouncedVm, RegisteredServer, ShiftOrder, ShiftRecord};
 use crate::Plan;
 
 /// One thing that is known now.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Update {
     /// The operators' plan.
     Plan(Arc<Plan>),
--- /dev/null
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -0,0 +1,161 @@
+//! A store in memory that counts the calls of each VM and can refuse some VMs.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use error_stack::Report;
+use mh_gateway::{AnnouncedVm, Batch, Feed, ShiftRecord, Source, Update, Written};
+use mh_platform::{BoxFuture, PlatformError, Result};
+use mh_types::{Code, ServiceName, VmName};
+use tokio::sync::watch;
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    /// Every update with its version, in order.
+    updates: Vec<(Feed, u64, Update)>,
+    refused: HashSet<VmName>,
+    calls: BTreeMap<VmName, usize>,
+}
+
+/// The store that all VMs of a test share.
+#[derive(Clone)]
+pub struct MemoryStore {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+/// One VM's way to the store.
+pub struct VmSource {
+    vm: VmName,
+    store: MemoryStore,
+}
+
+impl std::fmt::Debug for VmSource {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "VmSource({})", self.vm)
+    }
+}
+
+impl MemoryStore {
+    pub fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    pub fn source(&self, vm: &VmName) -> VmSource {
+        VmSource {
+            vm: vm.clone(),
+            store: self.clone(),
+        }
+    }
+
+    pub fn put(&self, feed: Feed, update: Update) {
+        let version = self.with(|state| {
+            state.version += 1;
+            state.updates.push((feed, state.version, update));
+            state.version
+        });
+        self.changed.send_replace(version);
+    }
+
+    /// Refuses every call of `vm` from now on.
+    pub fn refuse(&self, vm: &VmName) {
+        self.with(|state| state.refused.insert(vm.clone()));
+        // Calls that wait for changes end too.
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Calls of each VM since the last question.
+    pub fn take_calls(&self) -> BTreeMap<VmName, usize> {
+        self.with(|state| std::mem::take(&mut state.calls))
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+        f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl VmSource {
+    fn call<T>(&self, f: impl FnOnce(&mut State) -> T) -> Result<T> {
+        self.store.with(|state| {
+            *state.calls.entry(self.vm.clone()).or_default() += 1;
+            self.check(state).map(|()| f(state))
+        })
+    }
+
+    fn check(&self, state: &State) -> Result<()> {
+        if state.refused.contains(&self.vm) {
+            return Err(Report::new(PlatformError(Code::TableUnreachable)));
+        }
+        Ok(())
+    }
+
+    fn since(&self, feed: Feed, after: u64) -> Result<Batch> {
+        self.store.with(|state| {
+            self.check(state)?;
+            Ok(batch(state, feed, after))
+        })
+    }
+}
+
+fn batch(state: &State, feed: Feed, after: u64) -> Batch {
+    let updates = state.updates.iter();
+    let updates: Vec<_> = updates
+        .filter(|(of, version, _)| *of == feed && *version > after)
+        .collect();
+    Batch {
+        version: state.version,
+        changed: updates.iter().map(|(_, version, _)| *version).max().unwrap_or_default(),
+        clock: Duration::from_secs(1),
+        updates: updates.into_iter().map(|(_, _, update)| update.clone()).collect(),
+    }
+}
+
+impl Source for VmSource {
+    fn read(&self, feed: Feed) -> BoxFuture<'_, Result<Batch>> {
+        Box::pin(async move { self.call(|state| batch(state, feed, 0)) })
+    }
+
+    fn changes(&self, feed: Feed, version: u64, wait: Duration) -> BoxFuture<'_, Result<Option<Batch>>> {
+        Box::pin(async move {
+            let mut changed = self.store.changed.subscribe();
+            self.call(|_| ())?;
+            let end = tokio::time::Instant::now() + wait;
+            loop {
+                let found = self.since(feed, version)?;
+                if !found.updates.is_empty() || tokio::time::timeout_at(end, changed.changed()).await.is_err() {
+                    return Ok(Some(found));
+                }
+            }
+        })
+    }
+
+    fn announce<'a>(&'a self, vm: &'a AnnouncedVm) -> BoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            self.call(|_| ())?;
+            self.store.put(Feed::Vms, Update::Vm(vm.vm.clone(), Some(vm.clone())));
+            Ok(())
+        })
+    }
+
+    fn withdraw<'a>(&'a self, vm: &'a VmName) -> BoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            self.call(|_| ())?;
+            self.store.put(Feed::Vms, Update::Vm(vm.clone(), None));
+            Ok(())
+        })
+    }
+
+    fn record_shift<'a>(
+        &'a self,
+        _service: &'a ServiceName,
+        _record: &'a ShiftRecord,
+        _held: u64,
+    ) -> BoxFuture<'a, Result<Written>> {
+        Box::pin(async move { Ok(Written::Conflict) })
+    }
+}
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -80,6 +80,8 @@
     VmUnlisted = 604, Info, "A VM was taken from the list.";
     VmStateChanged = 605, Info, "What is believed of another VM changed.";
     Suspended = 606, Warn, "The machine was suspended; what this VM believes is read again.";
+    ReaderChanged = 607, Info, "This VM began or ceased to read the store for the others of its region.";
+    FetchFailed = 608, Warn, "Changes could not be fetched from another VM.";
     RequestDeferred = 650, Info, "A request was stored for later delivery.";
     DeferredDelivered = 651, Info, "A stored request was delivered.";
     DeferredUnreadable = 652, Error, "A stored request cannot be read; it stays where it is.";
