--- a/benches/overhead.rs
+++ b/benches/overhead.rs
@@ -343,7 +343,7 @@
     for (i, (vm, ..)) in vms.iter().enumerate() {
         ways.push(Way {
             name: ["VM", "VM, other build 1", "VM, other build 2", "VM, other build 3"][i],
-            process: vm.id(),
+            process: vm.process().id(),
             addr: vm.listed().caller,
             request: head("/stock/nets?size=4").into(),
         });
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -208,6 +208,7 @@
     emit!(
         Event::RequestAnswered,
         request = cx.id,
+        organisation = cx.org.as_ref().map_or("none", |org| org.name.as_str()),
         route = cx.route.name,
         object = cx.object_tag(),
         revision = cx.revision,
--- a/crates/mh_gateway/tests/relay.rs
+++ b/crates/mh_gateway/tests/relay.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use mh_gateway::{Feed, GatewayListen, GatewayNode, GatewaySettings, HeaderNames, Interface, LookupQuery, Update};
+use mh_gateway::{
+    Feed, GatewayListen, GatewayNode, GatewaySettings, HeaderNames, Interface, LookupQuery, PromiseSettings, Update,
+};
 use mh_types::VmName;
 use store::MemoryStore;
 
@@ -17,7 +19,7 @@
 const VMS: usize = 6;
 
 /// Time after which an expected state that has not come about never will.
-const GIVE_UP: Duration = Duration::from_secs(60);
+const GIVE_UP: Duration = Duration::from_mins(1);
 
 #[derive(Debug)]
 struct PlainInterface;
@@ -108,7 +110,7 @@
         threads: 1,
         descriptors: 256,
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
-        promises: Default::default(),
+        promises: PromiseSettings::default(),
         log: log::LevelFilter::Off,
     }
 }
--- a/crates/mh_standin/src/lib.rs
+++ b/crates/mh_standin/src/lib.rs
@@ -20,6 +20,8 @@
 mod faults;
 mod memory_table;
 mod platform;
+mod ports;
+mod process;
 mod serve;
 mod vm_process;
 
@@ -29,4 +31,6 @@
 pub use faults::Faults;
 pub use memory_table::MemoryTable;
 pub use platform::Platform;
+pub use ports::free_addrs;
+pub use process::Process;
 pub use vm_process::VmProcess;
--- a/examples/local.rs
+++ b/examples/local.rs
@@ -54,7 +54,7 @@
     );
 
     let mut killed = local.vms.remove(0);
-    killed.kill()?;
+    killed.process_mut().kill()?;
     println!("killed: {}", killed.listed().name);
     let mut looks = 0;
     while names(&local.lookup(&caller).await?).contains(killed.listed().name.as_str()) && looks < MAX_LOOKS {
--- a/tests/currency.rs
+++ b/tests/currency.rs
@@ -12,7 +12,7 @@
     let caller = mh_standin::Caller::new(Some(&key));
 
     site.platform().faults().set_down(true);
-    site.process(2).kill().unwrap();
+    site.process(2).process_mut().kill().unwrap();
     // Longer than the bound of 2 s, so that evidence from the table has lapsed.
     let end = tokio::time::Instant::now() + std::time::Duration::from_secs(4);
     let mut refusals = Vec::new();
@@ -39,8 +39,8 @@
     let caller = mh_standin::Caller::new(Some(&key));
 
     site.platform().faults().set_down(true);
-    site.process(1).kill().unwrap();
-    site.process(2).kill().unwrap();
+    site.process(1).process_mut().kill().unwrap();
+    site.process(2).process_mut().kill().unwrap();
     let addr = site.vm(0).caller;
     eventually("keyed requests are refused", async || {
         caller.get(addr, STOCK).await.unwrap().code() == Some(1013)
@@ -71,14 +71,14 @@
     let addr = site.vm(2).caller;
     assert_eq!(caller.get(addr, STOCK).await.unwrap().status, 200);
 
-    site.process(2).pause().await.unwrap();
+    site.process(2).process().pause().await.unwrap();
     let waiting = tokio::spawn({
         let caller = caller.clone();
         async move { caller.get(addr, STOCK).await }
     });
     let reply = site.withdraw_key("till").await;
     tokio::time::sleep(std::time::Duration::from_millis(2500)).await;
-    site.process(2).resume().unwrap();
+    site.process(2).process().resume().unwrap();
     let answer = waiting.await.unwrap().unwrap();
 
     assert!(reply["accepted"].as_bool().unwrap());
--- a/tests/deferred.rs
+++ b/tests/deferred.rs
@@ -37,7 +37,7 @@
         .await
         .expect("the VM answers");
     assert_eq!(answer.status, 202, "{}", answer.text());
-    site.process(0).kill().expect("the VM ends");
+    site.process(0).process_mut().kill().expect("the VM ends");
     let server = Backend::start_at("logs", addr).await.expect("the port is free again");
     eventually("the log is delivered", async || !server.seen().is_empty()).await;
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -90,7 +90,7 @@
     });
     eventually("the request runs", async || !site.seen().is_empty()).await;
 
-    site.process(0).terminate().unwrap();
+    site.process(0).process().terminate().unwrap();
     let leaving = site.vm(0).name.clone();
     let other = site.vm(1).caller;
     eventually("the other VM leaves it out", async || {
@@ -103,7 +103,7 @@
     })
     .await;
     let answer = slow.await.unwrap().unwrap();
-    let status = site.process(0).wait().await.unwrap();
+    let status = site.process(0).process_mut().wait().await.unwrap();
 
     assert_eq!(answer.status, 200);
     assert_eq!(status.code(), Some(0));
