Use a changed quota at once

Cause: a change of an organisation's burst cuts its quota anew, and every VM took its new slots as taken over from a VM that is gone: unused for a lease.

Ruled out: too few VMs asked (refusals with 0 to 3 VMs asked occur alike while the organisation exceeds its quota).

Change: slots of a quota that was cut anew are used at once, without tokens. Nothing of the old cut can count double for longer than settings take to be in force, and a lower limit binds only after that.

Test: quota_controller.rs, without the change 0 of 40 requests are admitted in the two seconds after it.

--- a/crates/mh_gateway/src/control/quota_controller.rs
+++ b/crates/mh_gateway/src/control/quota_controller.rs
@@ -52,6 +52,9 @@
     org: PlanOrg,
     domains: u16,
     adopted: Slots,
+    /// Whether the quota replaces one that was cut otherwise. Every VM then begins anew within the time in which settings
+    /// take effect, and the new limit binds only after it, so nothing that the old cut left behind need be waited for.
+    is_recut: bool,
 }
 
 impl QuotaController {
@@ -93,7 +96,8 @@
                 part.holder.set_budget(now, Arc::new(budget));
                 part.org = org.clone();
             }
-            _ => {
+            before => {
+                let is_recut = before.is_some();
                 let spread = hash(&[self.me.vm.as_str(), org.name.as_str()]);
                 let (me, lending) = (Arc::clone(&self.me), Arc::clone(&self.lending));
                 let part = Part {
@@ -101,6 +105,7 @@
                     org: org.clone(),
                     domains,
                     adopted: Slots::default(),
+                    is_recut,
                 };
                 self.parts.insert(org.name.clone(), part);
             }
@@ -124,7 +129,7 @@
             part.holder.release_slots(now, &lost);
         }
         if !gained.is_empty() {
-            let adoption = if is_start {
+            let adoption = if is_start || std::mem::take(&mut part.is_recut) {
                 Adoption::HandedOver
             } else {
                 Adoption::TakenOver
@@ -217,3 +222,7 @@
     }
     hasher.finish()
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/quota_controller.rs"]
+mod tests;
--- /dev/null
+++ b/crates/mh_gateway/tests/unit/quota_controller.rs
@@ -0,0 +1,88 @@
+//! What VMs admit of an organisation's requests as its quota changes.
+
+use mh_types::{Incarnation, Revision};
+
+use super::*;
+use crate::CallerLimits;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Time between two ticks of a VM.
+const TICK: Duration = Duration::from_millis(200);
+
+fn plan(revision: u64, rate_per_s: f64) -> Plan {
+    let org = PlanOrg {
+        name: "coop".into(),
+        rate_per_s,
+        burst: rate_per_s,
+        priority: 0,
+        regions: Vec::new(),
+    };
+    let limits = CallerLimits::default();
+    Plan::new(
+        Revision(revision),
+        Vec::new(),
+        Vec::new(),
+        vec![(org, Vec::new())],
+        limits,
+    )
+}
+
+fn vm(n: usize) -> AnnouncedVm {
+    AnnouncedVm {
+        vm: format!("vm-{n}").as_str().into(),
+        domain: "a".into(),
+        region: "north".into(),
+        callers: "127.0.0.1:1".parse().expect("a literal address"),
+        peers: "127.0.0.1:2".parse().expect("a literal address"),
+    }
+}
+
+/// Requests that all VMs admit in `time`, when each asks for one in each tick.
+fn admitted(vms: &mut [QuotaController], from: Instant, time: Duration) -> usize {
+    let mut count = 0;
+    let mut now = from;
+    while now < from + time {
+        for vm in vms.iter_mut() {
+            let out = vm.on_tick(now);
+            assert!(out.len() < 100);
+            let limiters = vm.limiters();
+            let meter = limiters["coop"].meter();
+            count += usize::from(meter.try_take_with(|| now, 1));
+        }
+        now += TICK;
+    }
+    count
+}
+
+/// Guards against an organisation that is refused everything for some seconds after its quota was changed: on a calm day
+/// of Granite Coast 33 of 108 allowed requests ran in the five seconds around it.
+#[test]
+fn a_changed_quota_is_used_at_once() {
+    let start = Instant::now();
+    let list: Vec<AnnouncedVm> = (0..4).map(vm).collect();
+    let mut vms: Vec<QuotaController> = list
+        .iter()
+        .map(|vm| {
+            let me = Me {
+                vm: vm.vm.clone(),
+                domain: vm.domain.clone(),
+                incarnation: Incarnation(1),
+            };
+            QuotaController::new(me, start)
+        })
+        .collect();
+    for vm in &mut vms {
+        vm.sync(&plan(1, 100.0), &list, start, start);
+    }
+    let now = start + SECOND * 20;
+    admitted(&mut vms, now - SECOND, SECOND);
+
+    for vm in &mut vms {
+        vm.sync(&plan(2, 40.0), &list, now, now);
+    }
+    let count = admitted(&mut vms, now, SECOND * 2);
+
+    // Each VM asks for 10 requests and owns a quarter of the quota, which is 20 requests in two seconds.
+    assert!(count >= 30, "{count} of 40 requests were admitted");
+}
