Let an object pool learn servers' loads from other VMs

Cause: at 85 VMs each VM sends a request to each server every eight seconds or so, and what it knows of the others' requests there is older than that.

Change: the pool hands out the loads that servers told it, once, and takes in those that other VMs heard.

--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -10,6 +10,7 @@
 use super::{Listed, ObjectAsk, ObjectServerView, Placed, Places, Refused};
 use crate::ServerSpec;
 use crate::clock::{Clock, Micros, micros};
+use mh_types::ServerName;
 
 /// Servers that hold an object at a time. A server keeps a few dozen objects; if a busy service spread each object over
 /// all servers, none would hold any of them, and the service would answer several times slower just when it is full.
@@ -250,6 +251,23 @@
         }
     }
 
+    /// The loads that servers told this VM since the last call, to be told to other VMs.
+    ///
+    /// In a large fleet a VM sends few requests to each server and would know little of their queues by itself.
+    pub fn take_reports(&self) -> impl Iterator<Item = (&ServerName, u32)> {
+        let reports = self.servers.iter();
+        reports.filter_map(|server| Some((&server.spec.name, server.track.take_report()?)))
+    }
+
+    /// Takes in the load that a server told another VM; `false` for a server that is not in the pool.
+    pub fn on_report(&self, now: Instant, name: &ServerName, load: u32) -> bool {
+        let server = self.servers.iter().find(|server| server.spec.name == *name);
+        if let Some(server) = server {
+            server.track.on_report(self.clock.micros(now), load);
+        }
+        server.is_some()
+    }
+
     /// Whether the pool has no servers.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
--- a/crates/mh_route/src/objects/track.rs
+++ b/crates/mh_route/src/objects/track.rs
@@ -25,6 +25,9 @@
 /// A new report of the load of others weighs this much against the old ones.
 const REPORT_WEIGHT: f64 = 0.4;
 
+/// Stands for no report.
+const NO_REPORT: u32 = u32::MAX;
+
 /// A number that is read and written whole.
 #[derive(Debug)]
 struct AtomicF64(AtomicU64);
@@ -56,6 +59,8 @@
     slowness: AtomicF64,
     path_us: AtomicU64,
     heard_at: AtomicU64,
+    /// The latest load that the server told this VM and that other VMs were not told yet.
+    report: AtomicU32,
 }
 
 impl Track {
@@ -71,6 +76,7 @@
             slowness: AtomicF64::new(1.0),
             path_us: AtomicU64::new(0),
             heard_at: AtomicU64::new(0),
+            report: AtomicU32::new(NO_REPORT),
         }
     }
 
@@ -101,8 +107,20 @@
         self.heard_at.store(now, Ordering::Relaxed);
     }
 
-    /// Records the number of requests that the server says it holds.
+    /// Records the number of requests that the server told this VM it holds.
     pub(crate) fn on_load(&self, now: Micros, total: u32) {
+        self.report.store(total, Ordering::Relaxed);
+        self.on_report(now, total);
+    }
+
+    /// The latest load that the server told this VM, once.
+    pub(crate) fn take_report(&self) -> Option<u32> {
+        let total = self.report.swap(NO_REPORT, Ordering::Relaxed);
+        (total != NO_REPORT).then_some(total)
+    }
+
+    /// Records the number of requests that the server told this VM or another one it holds.
+    pub(crate) fn on_report(&self, now: Micros, total: u32) {
         let own = self.in_flight.load(Ordering::Relaxed);
         let sample = f64::from(total.saturating_sub(own));
         let held = self.others(now);
--- a/crates/mh_route/tests/load/mod.rs
+++ b/crates/mh_route/tests/load/mod.rs
@@ -1,5 +1,7 @@
 //! A busy service whose servers cache what they handle, played without a network.
 
+pub mod fleet;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +25,8 @@
 const COLD_MS: u64 = 360;
 const WARM_MS: u64 = 108;
 const GAP_US: u64 = 7_700;
-const TARGET_MS: u64 = 250;
-const TIMEOUT_MS: u64 = 1_000;
+pub const TARGET_MS: u64 = 250;
+pub const TIMEOUT_MS: u64 = 1_000;
 
 /// How a server is chosen.
 #[derive(Clone, Copy)]
@@ -38,7 +40,7 @@
 #[derive(Default)]
 struct Server {
     free_at: [u64; SLOTS],
-    held: VecDeque<u64>,
+    pub held: VecDeque<u64>,
     running: Vec<u64>,
 }
 
--- a/crates/mh_route/tests/objects.rs
+++ b/crates/mh_route/tests/objects.rs
@@ -304,3 +304,14 @@
         "{by_object} {random} {least_busy}"
     );
 }
+
+/// Guards against the VMs of a large fleet that know too little of the servers' queues: each sends a request to each server
+/// every few seconds only.
+#[test]
+fn reports_of_other_vms_serve_more_callers_in_time() {
+    let alone = load::fleet::play(false);
+    let shared = load::fleet::play(true);
+
+    println!("in time of {}: alone {alone}, shared {shared}", load::fleet::REQUESTS);
+    assert!(shared > alone, "{shared} {alone}");
+}
