Exchange servers' loads between the VMs of a region

Every 0.4 s a VM sends the loads that servers told it to twelve other VMs of its region, others each time, so that what a VM sends and receives does not grow with the region.

--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -3,6 +3,7 @@
 mod feed_loop;
 mod feed_states;
 mod known_server;
+mod load_reports;
 mod member_loop;
 mod news;
 mod quota_controller;
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -1,5 +1,5 @@
 use mh_budget::Answer;
-use mh_types::OrgName;
+use mh_types::{OrgName, ServerName};
 use serde::{Deserialize, Serialize};
 
 use super::news::News;
@@ -13,6 +13,8 @@
     News(News),
     /// The sender can no longer read the store.
     NoNews,
+    /// Requests that servers told the sender they hold.
+    Loads(Vec<(ServerName, u32)>),
     /// Messages of the lending of quotas.
     Lend(Vec<mh_budget::Msg>),
     /// Asks to take one request from the receiver's share of an organisation's quota.
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -16,6 +16,9 @@
 /// Time between two ticks of the membership protocol.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Ticks between two reports of servers' loads to other VMs; the reports of one interval share a datagram.
+const REPORT_TICKS: usize = 2;
+
 /// Largest message of another VM, in bytes.
 const MAX_DATAGRAM: usize = 2048;
 
@@ -26,6 +29,7 @@
     let mut buf = vec![0; MAX_DATAGRAM];
     let mut boot = BootClock::start();
     let mut last_tick = Instant::now();
+    let mut count: usize = 0;
     loop {
         tokio::select! {
             received = node.receive(&mut buf) => {
@@ -45,6 +49,10 @@
                 }
                 last_tick = now;
                 tick(&node, now);
+                count += 1;
+                if count.is_multiple_of(REPORT_TICKS) {
+                    node.send_load_reports(count / REPORT_TICKS);
+                }
             }
         }
     }
@@ -60,6 +68,7 @@
         }
         Datagram::News(news) => node.on_news(from, news, now),
         Datagram::NoNews => node.on_no_news(from),
+        Datagram::Loads(loads) => node.on_load_reports(&loads, now),
         Datagram::Lend(msgs) => {
             let out = lock(&node.quotas).on_msgs(from, &msgs, now);
             node.send_lending(out);
