Derive quota owners only on a change, and find kept servers by name

Each change of a server's entry made every VM derive who owns each slot of each quota (organisations x slots x VMs hashes), and look for each server of a pool in a list of all.

Change: shares are derived anew only when the plan, the list of VMs or its last whole read changed; a new pool finds the servers that it keeps by name in a map.

--- a/crates/mh_gateway/src/control/quota_controller.rs
+++ b/crates/mh_gateway/src/control/quota_controller.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mh_budget::{Adoption, Answer, Budget, Holder, LendingSettings, Limiter, Me, Msg, Outgoing, Owner, Owners, Slots};
-use mh_types::{OrgName, VmName};
+use mh_types::{OrgName, Revision, VmName};
 use siphasher::sip::SipHasher13;
 use tokio::time::Instant;
 
@@ -43,6 +43,17 @@
     lending: Arc<LendingSettings>,
     started: Instant,
     parts: HashMap<OrgName, Part>,
+    /// What the shares were last derived from.
+    synced: Option<Synced>,
+}
+
+/// Plan and list of VMs that shares were derived from.
+#[derive(Debug, PartialEq)]
+struct Synced {
+    revision: Revision,
+    vms: Vec<AnnouncedVm>,
+    /// When the list was read as a whole.
+    read_at: Instant,
 }
 
 /// This VM's share of one quota.
@@ -64,6 +75,7 @@
             lending: Arc::new(LENDING),
             started: now,
             parts: HashMap::new(),
+            synced: None,
         }
     }
 
@@ -73,7 +85,19 @@
     }
 
     /// Takes in the plan and the list of VMs, which was read from `read_at` on.
+    ///
+    /// Who owns which slot is a matter of every organisation, slot and VM, so it is derived anew only when one of them
+    /// changed.
     pub(crate) fn sync(&mut self, plan: &Plan, vms: &[AnnouncedVm], read_at: Instant, now: Instant) {
+        let synced = Synced {
+            revision: plan.revision,
+            vms: vms.to_vec(),
+            read_at,
+        };
+        if self.synced.as_ref() == Some(&synced) {
+            return;
+        }
+        self.synced = Some(synced);
         let limited = |org: &PlanOrg| org.rate_per_s > 0.0;
         self.parts
             .retain(|name, _| plan.orgs.get(name).is_some_and(|org| limited(org)));
--- a/crates/mh_gateway/tests/unit/quota_controller.rs
+++ b/crates/mh_gateway/tests/unit/quota_controller.rs
@@ -1,6 +1,6 @@
 //! What VMs admit of an organisation's requests as its quota changes.
 
-use mh_types::{Incarnation, Revision};
+use mh_types::Incarnation;
 
 use super::*;
 use crate::CallerLimits;
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -90,11 +91,13 @@
         };
         let open = listed.iter().filter(|listed| !listed.leaving);
         let parts = places.parts(open.map(|listed| (&listed.spec.region, listed.spec.slots)));
+        let before: HashMap<&ServerName, &Server> = previous
+            .into_iter()
+            .flat_map(|pool| pool.servers.iter().map(|server| (&server.spec.name, server)))
+            .collect();
         let servers = listed.iter().map(|listed| {
-            let kept = previous.and_then(|pool| {
-                let same = |s: &&Server| s.spec.name == listed.spec.name && s.spec.addr == listed.spec.addr;
-                pool.servers.iter().filter(same).find(|s| s.run == listed.run)
-            });
+            let same = |s: &&&Server| s.spec.addr == listed.spec.addr && s.run == listed.run;
+            let kept = before.get(&listed.spec.name).filter(same);
             let track = kept.map_or_else(|| Arc::new(Track::new()), |server| Arc::clone(&server.track));
             if let Some(until) = listed.cold_until {
                 // The name spreads the first requests of VMs and servers that start together.
