Keep the last change of each subject in the log, and change feeds and world together

Cause, found by reading: the log of changes kept up to 4,096 updates, among them every plan. With several threads a VM could also be given an older world with newer versions between the two steps of taking a batch in, and then count as up to date.

Change: a later change of a subject replaces the earlier one in the log itself, which also makes five plans one when they are told; versions and world change under one lock, and what another VM is given is taken under it.

--- a/crates/mh_gateway/src/control/feed_states.rs
+++ b/crates/mh_gateway/src/control/feed_states.rs
@@ -1,8 +1,7 @@
-use std::collections::HashSet;
-
 use mh_relay::ChangeLog;
 
 use super::news::{Changes, FeedVersions, News};
+use crate::source::Subject;
 use crate::{Batch, Feed, Update};
 
 /// What a read brought.
@@ -24,7 +23,7 @@
 struct FeedState {
     /// `None` until the feed was read, and after a pause of the process.
     versions: Option<FeedVersions>,
-    log: ChangeLog<Update>,
+    log: ChangeLog<Subject, Update>,
     /// Whether this VM's last read failed.
     is_failing: bool,
 }
@@ -83,7 +82,8 @@
             return Accepted::Nothing;
         }
         versions.changed = batch.changed;
-        state.log.push(batch.changed, batch.updates.clone());
+        let changes = batch.updates.iter().map(|update| (update.subject(), update.clone()));
+        state.log.push(batch.changed, changes);
         Accepted::Changes(Changes {
             feed,
             after: before.changed,
@@ -115,16 +115,11 @@
         behind
     }
 
-    /// The changes after `version`, each thing's last one only; `None` when they are not all kept.
+    /// The changes after `version`, the last of each subject only; `None` when they are not all kept.
     ///
     /// A plan is large: five in a row to a whole region take a small VM's link seconds.
     pub(crate) fn since(&self, feed: Feed, version: u64) -> Option<Vec<Update>> {
-        let mut changes = self.of(feed).log.since(version)?;
-        changes.reverse();
-        let mut told = HashSet::new();
-        changes.retain(|change| told.insert(change.subject()));
-        changes.reverse();
-        Some(changes)
+        self.of(feed).log.since(version)
     }
 }
 
--- a/crates/mh_gateway/src/control/relay.rs
+++ b/crates/mh_gateway/src/control/relay.rs
@@ -195,10 +195,15 @@
 
     /// Takes in what was read of `feed`, from the store or from another VM, and passes it on.
     pub(crate) fn take_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) {
-        let accepted = lock(&self.relay.feeds).accept(feed, batch, is_whole);
+        // Held while the world takes the batch in, so that nobody is given an older world with newer versions.
+        let mut feeds = lock(&self.relay.feeds);
+        let accepted = feeds.accept(feed, batch, is_whole);
         let is_new = !matches!(accepted, Accepted::Nothing);
         if is_new {
             lock(&self.world).apply(feed, batch, is_whole, now);
+        }
+        drop(feeds);
+        if is_new {
             self.rebuild(now);
         }
         if is_new || feed == Feed::Settings {
@@ -284,7 +289,6 @@
         let feeds = lock(&self.relay.feeds);
         let versions = feeds.versions(feed)?;
         let changes = feeds.since(feed, version);
-        drop(feeds);
         let world = lock(&self.world);
         let fetched = Fetched {
             clock: world.store_clock(now)?,
--- a/crates/mh_gateway/src/source.rs
+++ b/crates/mh_gateway/src/source.rs
@@ -19,6 +19,7 @@
 pub use registered_server::RegisteredServer;
 pub use shift_order::ShiftOrder;
 pub use shift_record::ShiftRecord;
+pub(crate) use update::Subject;
 pub use update::Update;
 pub use written::Written;
 
