--- a/crates/mh_gateway/src/control/world.rs
+++ b/crates/mh_gateway/src/control/world.rs
@@ -1,3 +1,5 @@
+mod snapshot;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -114,37 +116,6 @@
         self.vms.get(vm)
     }
 
-    /// All that is known of `feed`, as a VM that knows nothing needs to be told.
-    pub fn snapshot(&self, feed: Feed, now: Instant) -> Vec<Update> {
-        match feed {
-            Feed::Settings => {
-                let plan = self.plan.iter().map(|plan| Update::Plan(Arc::clone(plan)));
-                let drained = self.drained.iter().map(|domain| Update::Drained(domain.clone(), true));
-                let orders = self.orders.iter();
-                let orders = orders.map(|(service, order)| Update::Order(service.clone(), Some(order.clone())));
-                plan.chain(drained).chain(orders).collect()
-            }
-            Feed::Servers => {
-                // A server whose removal is put off is left out: the one that is told has its own reasons to wait.
-                let listed = self.servers.iter().filter(|(_, server)| server.removed_at.is_none());
-                listed
-                    .map(|(name, server)| Update::Server(name.clone(), Some(server.entry_at(now))))
-                    .collect()
-            }
-            Feed::Shifts => {
-                let records = self.records.iter();
-                records
-                    .map(|(service, record)| Update::Shift(service.clone(), Some(record.clone())))
-                    .collect()
-            }
-            Feed::Vms => {
-                let vms = self.vms.iter();
-                vms.map(|(name, vm)| Update::Vm(name.clone(), Some(vm.clone())))
-                    .collect()
-            }
-        }
-    }
-
     /// When the list of VMs was last read as a whole; `None` before that.
     pub fn vms_read_at(&self) -> Option<Instant> {
         self.vms_read_at
