Tell plans as changes, start from neighbours, and spend less for each change on a large fleet

A third of the VMs' time went to deriving owners of quotas, ticking quiet quotas and making the servers of every service anew for a change of one.

Change: news carry what leads from one plan to the next, with a digest of the result. VMs fetch along a tree of four copies each. A VM that starts in a region of nine or more reads the list of VMs and learns the rest from others, at least as new as that read. Owners hash each name once; quotas that nobody asks for tick once a second; servers are made anew for changed services only; reported loads find their server by an index. Look-ups of a region with more than 64 VMs name all of them in turn; the same 64 were named before. Control loops that panic start again. A port accepts for 0.2 s after its stop, so that requests in the queue are answered.

Ruled out: learning in small regions.

--- a/crates/mh_budget/src/demand.rs
+++ b/crates/mh_budget/src/demand.rs
@@ -37,6 +37,11 @@
         self.fast = blend(self.fast, FAST_S);
     }
 
+    /// Whether nobody has asked for some time, nor since the last update.
+    pub fn is_settled(self, asked: u64) -> bool {
+        self.is_idle() && self.asked == asked
+    }
+
     /// Whether nobody has asked for some time.
     pub fn is_idle(self) -> bool {
         f64::from(self.slow) < IDLE_RATE
--- a/crates/mh_budget/src/holder/mod.rs
+++ b/crates/mh_budget/src/holder/mod.rs
@@ -181,6 +181,17 @@
         self.refresh_fallback(now);
     }
 
+    /// Whether nothing would change but by the passing of seconds: nobody asks, and nothing is lent, borrowed or waited
+    /// for. A quiet holder still needs a tick well within the pause limit.
+    pub fn is_quiet(&self) -> bool {
+        self.demand.is_settled(self.limiter.meter().asked())
+            && self.lent.is_empty()
+            && self.borrowed.is_empty()
+            && self.waiting.is_empty()
+            && self.releasing.is_empty()
+            && self.standing == Standing::Listed
+    }
+
     /// Does what is due: ends loans, measures demand, asks for share, renews loans and returns what is not needed.
     ///
     /// A gap of more than the pause limit since the last call of any method that takes `now` makes the VM
--- a/crates/mh_edge/src/serve.rs
+++ b/crates/mh_edge/src/serve.rs
@@ -21,6 +21,9 @@
 
 /// Wait before accepting again after `accept` failed, for example for lack of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+/// Time for which connections are still accepted after the stop. Those that wait to be accepted carry requests that
+/// would otherwise be cut off without an answer.
+const LINGER: Duration = Duration::from_millis(200);
 /// Bytes that the HTTP/1 parser may hold for one request's headers.
 const PARSER_BUF_BYTES: usize = 64 * 1024;
 /// HTTP/2 streams that one connection may have open.
@@ -40,7 +43,7 @@
         self.addr
     }
 
-    /// Stops accepting, lets every running request end, and returns whether all ended within `limit`.
+    /// Stops accepting after a short time, lets every running request end, and returns whether all ended within `limit`.
     pub async fn shutdown(self, limit: Duration) -> bool {
         let _ = self.stop.send(());
         let Ok(graceful) = self.task.await else { return false };
@@ -116,7 +119,7 @@
     listener: TcpListener,
     limits: L,
     handle: H,
-    mut stopped: oneshot::Receiver<()>,
+    stopped: oneshot::Receiver<()>,
 ) -> GracefulShutdown
 where
     L: Fn() -> PortLimits + Send + 'static,
@@ -125,10 +128,15 @@
 {
     let graceful = GracefulShutdown::new();
     let open = Arc::new(AtomicUsize::new(0));
+    let mut end = std::pin::pin!(async {
+        // A server that was dropped stops as well.
+        let _ = stopped.await;
+        tokio::time::sleep(LINGER).await;
+    });
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = &mut stopped => return graceful,
+            () = &mut end => return graceful,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -4,6 +4,7 @@
 mod feed_states;
 mod known_server;
 mod load_reports;
+mod made_of;
 mod member_loop;
 mod news;
 mod quota_controller;
@@ -15,7 +16,7 @@
 
 pub use world::World;
 
-pub(crate) use datagram::Datagram;
+pub(crate) use datagram::{Datagram, encode};
 pub(crate) use quota_controller::QuotaController;
 
 pub(crate) use announce_loop::{announce, withdraw};
--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -4,6 +4,7 @@
 use mh_types::{Event, emit};
 use tokio::time::Instant;
 
+use super::announce;
 use crate::Feed;
 use crate::node::{GatewayNode, lock};
 
@@ -20,9 +21,9 @@
 /// by this VM, or one by a VM that is earlier in the order of readers.
 const SECONDARY_FACTOR: u32 = 3;
 
-/// Wait of a VM that lists itself for the first time before it reads changes of other feeds than the list. When a fleet
-/// starts, the VMs know each other by then, and most of them need not read.
-const SETTLE: Duration = Duration::from_secs(2);
+/// Wait of a VM of a fleet that starts between listing itself and its read of the list, so that the list is nearly
+/// whole and most VMs need not read the store for anything else.
+const SETTLE: Duration = Duration::from_millis(500);
 
 /// Wait between an answer with changes and the next read, in which further changes gather. Every change wakes every
 /// reader, so without it a fleet that starts reads the store once for each server that registers.
@@ -48,12 +49,29 @@
     let mut backoff = MIN_BACKOFF;
     let mut lost_at: Option<Instant> = None;
     let mut failed_from = Instant::now();
+    let mut is_fresh = node.cfg.first_start;
     loop {
         if node.epoch() != epoch {
             epoch = node.epoch();
             node.relay.forget(feed);
         }
-        let held = node.relay.versions(feed);
+        let mut held = node.relay.versions(feed);
+        if held.is_none() && feed == Feed::Vms && is_fresh {
+            is_fresh = false;
+            announce(Arc::clone(&node)).await;
+            tokio::time::sleep(SETTLE).await;
+        }
+        if held.is_none() && feed != Feed::Vms {
+            let learnt = tokio::select! {
+                learnt = node.learn(feed) => learnt,
+                () = node.epoch_changed(epoch) => continue,
+            };
+            if learnt {
+                continue;
+            }
+            // Another VM may have asked this one to read meanwhile.
+            held = node.relay.versions(feed);
+        }
         if held.is_some() && !node.relay.is_reader() {
             // The VMs that read vouch to this one.
             if let Some(at) = lost_at.take() {
@@ -89,13 +107,14 @@
                 }
                 backoff = MIN_BACKOFF;
                 node.on_read(feed, true, now);
-                node.take_batch(feed, &batch, held.is_none(), now);
+                if held.is_none() && feed == Feed::Vms {
+                    node.take_list(&batch, now);
+                } else {
+                    node.take_batch(feed, &batch, held.is_none(), now);
+                }
                 if held.is_none() || !batch.updates.is_empty() {
                     tokio::time::sleep(gather(feed)).await;
                 }
-                if held.is_none() && feed != Feed::Vms && !node.is_listed() {
-                    tokio::time::sleep(SETTLE).await;
-                }
             }
             Ok(None) => {
                 let version = held.unwrap_or_default().held;
--- a/crates/mh_gateway/src/control/known_server.rs
+++ b/crates/mh_gateway/src/control/known_server.rs
@@ -24,7 +24,9 @@
 
 impl KnownServer {
     pub(crate) fn new(entry: RegisteredServer, now: Instant, is_established: bool) -> Self {
-        let cold_until = (!entry.cold_for.is_zero()).then(|| now + entry.cold_for);
+        let cold_until = Some(entry.cold_for)
+            .filter(|time| !time.is_zero())
+            .and_then(|time| now.checked_add(time));
         Self {
             entry,
             cold_until,
--- a/crates/mh_gateway/src/control/load_reports.rs
+++ b/crates/mh_gateway/src/control/load_reports.rs
@@ -2,7 +2,7 @@
 use mh_types::{ServerName, VmName};
 use tokio::time::Instant;
 
-use super::Datagram;
+use super::{Datagram, encode};
 use crate::node::{GatewayNode, lock};
 
 /// VMs that each report is sent to. It bounds what a VM sends and receives, whatever the size of its region.
@@ -24,7 +24,7 @@
         if loads.is_empty() {
             return;
         }
-        let Ok(bytes) = postcard::to_stdvec(&(self.gateway.vm(), Datagram::Loads(loads))) else {
+        let Ok(bytes) = encode(self.gateway.vm(), &Datagram::Loads(loads)) else {
             // Names and numbers always have an encoded form.
             return;
         };
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -6,12 +6,13 @@
 use std::net::SocketAddr;
 use tokio::time::{Instant, MissedTickBehavior};
 
+use super::datagram::decode;
 use super::shift_write::run_shifts;
 use super::stale_vms::update_list;
 use super::{Datagram, QuotaController};
-use crate::Feed;
 use crate::node::{GatewayNode, lock};
 use crate::pause::BootClock;
+use crate::{AnnouncedVm, Feed};
 
 /// Time between two ticks of the membership protocol.
 const TICK: Duration = Duration::from_millis(200);
@@ -34,7 +35,7 @@
         tokio::select! {
             received = node.receive(&mut buf) => {
                 let Ok(len) = received else { continue };
-                match postcard::from_bytes::<(VmName, Datagram)>(&buf[..len]) {
+                match decode::<Datagram>(&buf[..len]) {
                     Ok((from, datagram)) => take(&node, &from, datagram),
                     Err(e) => emit!(Event::PeerMessageInvalid, bytes = len, error = e),
                 }
@@ -129,6 +130,9 @@
         alive.push(vm.vm.clone());
         callers.push((vm.region.clone(), vm.callers));
     }
+    let is_neighbour = |vm: &AnnouncedVm| vm.region == node.cfg.region && vm.vm != node.cfg.vm;
+    let has_neighbours = world.vms().any(|vm| is_neighbour(vm) && usable(&vm.vm));
+    node.relay.set_alone(!has_neighbours);
     let dead = world.vms().filter(|vm| view.state(&vm.vm) == Some(State::Dead));
     let dead: Vec<VmName> = dead.map(|vm| vm.vm.clone()).collect();
     let own = node.announced();
--- a/crates/mh_gateway/src/control/news.rs
+++ b/crates/mh_gateway/src/control/news.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Feed, Update};
+use crate::{Feed, PlanChange, Update};
 
 /// What a VM that reads the store tells the others of its region.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -13,8 +13,10 @@
     pub(crate) feeds: [FeedVersions; Feed::ALL.len()],
     /// Time since the register of servers could last not be read, if entries may still be missing because of that.
     pub(crate) register_down: Option<Duration>,
-    /// The latest changes, if they are few.
+    /// The latest changes, if they are few. A plan is told as `plan_change` instead.
     pub(crate) changes: Option<Changes>,
+    /// What leads from the plan before these changes to the one after them.
+    pub(crate) plan_change: Option<PlanChange>,
 }
 
 /// How much of a feed a VM holds.
--- a/crates/mh_gateway/src/control/quota_controller.rs
+++ b/crates/mh_gateway/src/control/quota_controller.rs
@@ -22,6 +22,10 @@
 /// would refuse every request for a lease after a restart of all VMs.
 const START: Duration = Duration::from_secs(4);
 
+/// Time between two ticks of a quota that nobody asks for, within the pause after which shares must be confirmed. Most
+/// quotas of a large deployment are quiet on most VMs.
+const QUIET_TICK: Duration = Duration::from_secs(1);
+
 /// Times of the lending. Leases are short, as they bound that double use, and the time for which slots that move to
 /// another VM lie idle.
 const LENDING: LendingSettings = LendingSettings {
@@ -63,6 +67,8 @@
     org: PlanOrg,
     domains: u16,
     adopted: Slots,
+    /// When the holder last did what was due.
+    ticked: Instant,
     /// Whether the quota replaces one that was cut otherwise. Every VM then begins anew within the time in which settings
     /// take effect, and the new limit binds only after it, so nothing that the old cut left behind need be waited for.
     is_recut: bool,
@@ -101,10 +107,11 @@
         let limited = |org: &PlanOrg| org.rate_per_s > 0.0;
         self.parts
             .retain(|name, _| plan.orgs.get(name).is_some_and(|org| limited(org)));
+        let vms: Vec<HashedVm<'_>> = vms.iter().map(HashedVm::from).collect();
         for org in plan.orgs.values().filter(|org| limited(org)) {
             let domains = slot_groups(org.burst);
             self.sync_org(org, domains, now);
-            self.assign(&org.name, vms, read_at, now);
+            self.assign(&org.name, &vms, read_at, now);
         }
     }
 
@@ -129,6 +136,7 @@
                     org: org.clone(),
                     domains,
                     adopted: Slots::default(),
+                    ticked: now,
                     is_recut,
                 };
                 self.parts.insert(org.name.clone(), part);
@@ -137,7 +145,7 @@
     }
 
     /// Adopts and releases slots, so that this VM holds those that the list gives it.
-    fn assign(&mut self, org: &OrgName, vms: &[AnnouncedVm], read_at: Instant, now: Instant) {
+    fn assign(&mut self, org: &OrgName, vms: &[HashedVm<'_>], read_at: Instant, now: Instant) {
         let is_start = now < self.started + START;
         let Some(part) = self.parts.get_mut(org) else { return };
         let owners = owners(org, part.holder.division().slots(), vms);
@@ -186,6 +194,10 @@
     pub(crate) fn on_tick(&mut self, now: Instant) -> Vec<Outgoing> {
         let mut out = Vec::new();
         for part in self.parts.values_mut() {
+            if part.holder.is_quiet() && now < part.ticked + QUIET_TICK {
+                continue;
+            }
+            part.ticked = now;
             out.extend(part.holder.on_tick(now));
             // Slots that were given up and are no longer lent belong to their next owner, which waits for that.
             let _ = part.holder.poll_released(now);
@@ -222,21 +234,44 @@
 
 /// The owner of each slot of an organisation's quota: the listed VM with the highest weight that does not yet have its
 /// even part. A change of the list moves few slots.
-fn owners<'a>(org: &OrgName, slots: u16, vms: &'a [AnnouncedVm]) -> Vec<(u16, &'a AnnouncedVm)> {
+fn owners<'a>(org: &OrgName, slots: u16, vms: &'a [HashedVm<'a>]) -> Vec<(u16, &'a AnnouncedVm)> {
     let most = usize::from(slots).div_ceil(vms.len().max(1));
-    let mut taken: HashMap<&VmName, usize> = HashMap::new();
+    let of_org = hash(&[org.as_str()]);
+    let mut taken: Vec<usize> = vec![0; vms.len()];
     let mut out = Vec::with_capacity(usize::from(slots));
     for slot in 0..slots {
-        let weight = |vm: &&AnnouncedVm| hash(&[vm.vm.as_str(), org.as_str(), &slot.to_string()]);
-        let has_room = |vm: &&AnnouncedVm| taken.get(&vm.vm).is_none_or(|count| *count < most);
-        if let Some(owner) = vms.iter().filter(has_room).max_by_key(weight) {
-            *taken.entry(&owner.vm).or_default() += 1;
-            out.push((slot, owner));
+        let of_slot = mix(of_org ^ u64::from(slot));
+        let open = vms.iter().enumerate().filter(|(place, _)| taken[*place] < most);
+        if let Some((place, owner)) = open.max_by_key(|(_, vm)| mix(vm.hash ^ of_slot)) {
+            taken[place] += 1;
+            out.push((slot, owner.vm));
         }
     }
     out
 }
 
+/// A VM with the hash of its name, which is used for every slot of every organisation.
+struct HashedVm<'a> {
+    vm: &'a AnnouncedVm,
+    hash: u64,
+}
+
+impl<'a> From<&'a AnnouncedVm> for HashedVm<'a> {
+    fn from(vm: &'a AnnouncedVm) -> Self {
+        Self {
+            hash: hash(&[vm.vm.as_str()]),
+            vm,
+        }
+    }
+}
+
+/// Spreads the bits of `x` evenly (the finaliser of `SplitMix64`).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
 /// A hash that every VM computes alike.
 fn hash(parts: &[&str]) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/crates/mh_gateway/src/control/shift_controller.rs
+++ b/crates/mh_gateway/src/control/shift_controller.rs
@@ -141,7 +141,7 @@
     if verdict.is_fault() {
         return Some(ShiftPhase::TakenBack);
     }
-    let deadline = held.started + order.duration;
+    let deadline = held.started.saturating_add(order.duration);
     // A shift that has not ended by its deadline is taken back, as when all VMs restarted just before it and the evidence
     // is lost. The old servers run on until it is recorded as done.
     if clock >= deadline {
--- a/crates/mh_gateway/src/control/world.rs
+++ b/crates/mh_gateway/src/control/world.rs
@@ -10,10 +10,9 @@
 use tokio::time::Instant;
 
 use super::known_server::KnownServer;
+use super::made_of::MadeOf;
 use super::shift_controller::ShiftController;
-use crate::{
-    AnnouncedVm, Batch, Bounds, Feed, Live, Plan, RegisteredServer, ServiceBackends, ShiftOrder, ShiftRecord, Update,
-};
+use crate::{AnnouncedVm, Batch, Bounds, Feed, Live, Plan, RegisteredServer, ShiftOrder, ShiftRecord, Update};
 
 /// What this VM believes about the deployment, from the source.
 #[derive(Debug)]
@@ -36,6 +35,8 @@
     pub(super) orders: HashMap<ServiceName, ShiftOrder>,
     pub(super) records: HashMap<ServiceName, ShiftRecord>,
     pub(super) shift_controller: ShiftController,
+    /// What the servers that requests use now were made of.
+    built: HashMap<ServiceName, MadeOf>,
     /// When the last whole read of the list of VMs began.
     vms_read_at: Option<Instant>,
     /// The store's clock at a moment of this VM's.
@@ -60,6 +61,7 @@
             orders: HashMap::new(),
             records: HashMap::new(),
             shift_controller: ShiftController::default(),
+            built: HashMap::new(),
             vms_read_at: None,
             clock: None,
         }
@@ -96,14 +98,14 @@
     pub fn on_feed_back(&mut self, feed: Feed, down_until: Instant, was_long: bool) {
         self.lost.remove(&feed);
         if feed == Feed::Servers && was_long {
-            self.entries_return_by = Some(down_until + self.bounds.entry_return);
+            self.entries_return_by = down_until.checked_add(self.bounds.entry_return);
         }
     }
 
     /// The store's clock now; `None` before the first read.
     pub fn store_clock(&self, now: Instant) -> Option<Duration> {
         let (clock, at) = self.clock?;
-        Some(clock + now.saturating_duration_since(at))
+        Some(clock.saturating_add(now.saturating_duration_since(at)))
     }
 
     /// The VMs that are listed.
@@ -156,13 +158,28 @@
         };
         let places = self.places();
         let mut listed = self.listed(now);
-        let backends = plan.services.values().map(|service| {
-            let servers = listed.remove(&service.name).unwrap_or_default();
-            let kept = previous.backends.get(&service.name).map(Arc::as_ref);
-            let backends = ServiceBackends::new(service, &servers, kept, vms, &places, &self.bounds, now);
-            (service.name.clone(), Arc::new(backends))
-        });
+        let mut built = HashMap::new();
+        for service in plan.services.values() {
+            let made_of = MadeOf {
+                service: service.clone(),
+                servers: listed.remove(&service.name).unwrap_or_default(),
+                places: places.clone(),
+                bounds: self.bounds,
+                vms,
+            };
+            let kept = previous.backends.get(&service.name);
+            let same = self.built.remove(&service.name).filter(|held| *held == made_of);
+            let backends = match (same, kept) {
+                (Some(_), Some(kept)) => Arc::clone(kept),
+                _ => Arc::new(made_of.build(kept.map(Arc::as_ref), now)),
+            };
+            built.insert(service.name.clone(), (made_of, backends));
+        }
+        let backends = built
+            .iter()
+            .map(|(name, (_, backends))| (name.clone(), Arc::clone(backends)));
         let backends = backends.collect();
+        self.built = built.into_iter().map(|(name, (made_of, _))| (name, made_of)).collect();
         let work = plan.routes().map(|route| {
             let kept = previous.work.get(&route.name).map(Arc::clone);
             let times = kept.unwrap_or_else(|| Arc::new(WorkTimes::new(route.latency_target)));
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -41,7 +41,7 @@
 pub use logging::{LineLimit, init_logging};
 pub use node::{GatewayNode, Stopped, run_until_signal};
 pub use pause::BootClock;
-pub use plan::{CallerLimits, HostRoute, Plan, PlanOrg, PlanService, RequestKind, Target, Unreadable};
+pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, Unreadable};
 pub use quota_peers::QuotaPeers;
 pub use request::{Counters, Gateway};
 pub use service_backends::ServiceBackends;
--- a/crates/mh_gateway/src/node.rs
+++ b/crates/mh_gateway/src/node.rs
@@ -2,6 +2,7 @@
 mod metrics;
 mod ports;
 mod shutdown;
+mod supervise;
 
 pub use gateway_node::GatewayNode;
 pub use shutdown::{Stopped, run_until_signal};
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -15,7 +15,8 @@
 use tokio::time::Instant;
 
 use super::ports;
-use crate::control::{Datagram, QuotaController, Relay, StaleVms, World, follow, run_members};
+use super::supervise::supervise;
+use crate::control::{Datagram, QuotaController, Relay, StaleVms, World, encode, follow, run_members};
 use crate::{
     AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase,
     ShiftRecord, Source, Update,
@@ -145,9 +146,11 @@
             region = node.cfg.region
         );
         for feed in Feed::ALL {
-            tokio::spawn(follow(Arc::clone(&node), feed));
+            let node = Arc::clone(&node);
+            supervise("feed", move || follow(Arc::clone(&node), feed));
         }
-        tokio::spawn(run_members(Arc::clone(&node)));
+        let members = Arc::clone(&node);
+        supervise("members", move || run_members(Arc::clone(&members)));
         ports::serve_health(health, Arc::clone(&node));
         ports::serve_changes(changes, Arc::clone(&node));
         ports::serve_lookups(lookups, Arc::clone(&node));
@@ -188,7 +191,7 @@
 
     /// Sends a datagram to another VM; a lost one is made up for by later ones.
     pub(crate) fn send_to(&self, addr: SocketAddr, datagram: &Datagram) {
-        if let Ok(bytes) = postcard::to_stdvec(&(self.gateway.vm(), datagram)) {
+        if let Ok(bytes) = encode(self.gateway.vm(), datagram) {
             self.send_bytes(addr, &bytes);
         }
     }
@@ -264,11 +267,6 @@
         }
     }
 
-    /// Whether the list of VMs has this one as it is now.
-    pub(crate) fn is_listed(&self) -> bool {
-        lock(&self.world).vm(self.gateway.vm()) == Some(&self.announced())
-    }
-
     /// Makes the state for requests anew.
     pub(crate) fn rebuild(&self, now: Instant) {
         let mut world = lock(&self.world);
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -9,6 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mh_edge::{PortLimits, Server, serve_with};
+use mh_platform::BoxFuture;
 use mh_types::{Event, RegionName, emit};
 use tokio::net::TcpListener;
 use tokio::time::Duration;
@@ -62,66 +63,83 @@
 /// Serves readiness checks and metrics.
 pub(super) fn serve_health(listener: TcpListener, node: Arc<GatewayNode>) {
     tokio::spawn(accept(listener, node, |node, req| {
-        if req.uri().path() == METRICS_PATH {
-            return text(StatusCode::OK, node.metrics_text());
-        }
-        if req.uri().path() != node.interface.ready_path() {
-            return text(StatusCode::NOT_FOUND, String::new());
-        }
-        let status = if node.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        text(status, String::new())
+        Box::pin(std::future::ready(health(&node, &req)))
     }));
 }
 
+fn health(node: &GatewayNode, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.uri().path() == METRICS_PATH {
+        return text(StatusCode::OK, node.metrics_text());
+    }
+    if req.uri().path() != node.interface.ready_path() {
+        return text(StatusCode::NOT_FOUND, String::new());
+    }
+    let status = if node.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    text(status, String::new())
+}
+
 /// Gives changes to other VMs of the region.
 pub(super) fn serve_changes(listener: TcpListener, node: Arc<GatewayNode>) {
     tokio::spawn(accept(listener, node, |node, req| {
-        if req.uri().path() != CHANGES_PATH {
-            return text(StatusCode::NOT_FOUND, String::new());
-        }
-        let Some((feed, version)) = parse_query(req.uri().query().unwrap_or_default()) else {
-            return text(StatusCode::BAD_REQUEST, String::new());
-        };
-        match node.fetched(feed, version) {
-            Some(fetched) => Response::new(Full::new(fetched)),
-            None => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        }
+        Box::pin(async move { changes(&node, &req).await })
     }));
 }
 
+async fn changes(node: &Arc<GatewayNode>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.uri().path() != CHANGES_PATH {
+        return text(StatusCode::NOT_FOUND, String::new());
+    }
+    let Some((feed, held, min)) = parse_query(req.uri().query().unwrap_or_default()) else {
+        return text(StatusCode::BAD_REQUEST, String::new());
+    };
+    match node.fetched(feed, held, min).await {
+        Some(fetched) => Response::new(Full::new(fetched)),
+        None => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+    }
+}
+
 /// Serves look-ups.
 pub(super) fn serve_lookups(listener: TcpListener, node: Arc<GatewayNode>) {
     tokio::spawn(accept(listener, node, |node, req| {
-        if req.method() != Method::GET || req.uri().path() != node.interface.lookup_path() {
-            return text(StatusCode::NOT_FOUND, String::new());
-        }
-        add_lookup(node.gateway.counters());
-        let query = node.interface.lookup_query(req.uri().query().unwrap_or_default());
-        let vms = named(&node.gateway.live().vms, query.region.as_ref());
-        if vms.is_empty() {
-            return text(StatusCode::SERVICE_UNAVAILABLE, String::new());
-        }
-        let lifetime = node.gateway.bounds().lookup_lifetime.mul_f64(LIFETIME_PART);
-        let mut answer = Response::new(Full::new(node.interface.lookup_answer(&vms, lifetime)));
-        let json = HeaderValue::from_static("application/json");
-        answer.headers_mut().insert(CONTENT_TYPE, json);
-        answer
+        Box::pin(std::future::ready(look_up(&node, &req)))
     }));
 }
 
-/// The VMs of the caller's region, or all when it has none.
-fn named(vms: &[(RegionName, SocketAddr)], region: Option<&RegionName>) -> Vec<SocketAddr> {
+fn look_up(node: &GatewayNode, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.method() != Method::GET || req.uri().path() != node.interface.lookup_path() {
+        return text(StatusCode::NOT_FOUND, String::new());
+    }
+    add_lookup(node.gateway.counters());
+    let query = node.interface.lookup_query(req.uri().query().unwrap_or_default());
+    let vms = named(&node.gateway.live().vms, query.region.as_ref(), rand::random());
+    if vms.is_empty() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, String::new());
+    }
+    let lifetime = node.gateway.bounds().lookup_lifetime.mul_f64(LIFETIME_PART);
+    let mut answer = Response::new(Full::new(node.interface.lookup_answer(&vms, lifetime)));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+/// The VMs of the caller's region, or all when it has none. Of more than fit an answer, `rnd` selects a part, so that
+/// callers are spread over all of them.
+fn named(vms: &[(RegionName, SocketAddr)], region: Option<&RegionName>, rnd: u64) -> Vec<SocketAddr> {
     let near = vms.iter().filter(|(of, _)| region.is_some_and(|region| of == region));
-    let near: Vec<SocketAddr> = near.map(|(_, addr)| *addr).take(MAX_NAMED).collect();
-    if near.is_empty() {
-        vms.iter().map(|(_, addr)| *addr).take(MAX_NAMED).collect()
-    } else {
-        near
+    let mut chosen: Vec<SocketAddr> = near.map(|(_, addr)| *addr).collect();
+    if chosen.is_empty() {
+        chosen = vms.iter().map(|(_, addr)| *addr).collect();
     }
+    if chosen.len() > MAX_NAMED {
+        let start = (rnd % chosen.len() as u64) as usize;
+        chosen.rotate_left(start);
+        chosen.truncate(MAX_NAMED);
+    }
+    chosen
 }
 
 fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
@@ -130,11 +148,10 @@
     answer
 }
 
-async fn accept(
-    listener: TcpListener,
-    node: Arc<GatewayNode>,
-    answer: fn(&Arc<GatewayNode>, &Request<Incoming>) -> Response<Full<Bytes>>,
-) {
+/// What answers one request of a port.
+type Answer = fn(Arc<GatewayNode>, Request<Incoming>) -> BoxFuture<'static, Response<Full<Bytes>>>;
+
+async fn accept(listener: TcpListener, node: Arc<GatewayNode>, answer: Answer) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY).await;
@@ -142,8 +159,8 @@
         };
         let node = Arc::clone(&node);
         let service = hyper::service::service_fn(move |req: Request<Incoming>| {
-            let answer = answer(&node, &req);
-            async move { Ok::<_, Infallible>(answer) }
+            let answer = answer(Arc::clone(&node), req);
+            async move { Ok::<_, Infallible>(answer.await) }
         });
         let mut builder = hyper::server::conn::http1::Builder::new();
         builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
@@ -155,3 +172,7 @@
         });
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/ports.rs"]
+mod tests;
--- a/crates/mh_gateway/src/plan.rs
+++ b/crates/mh_gateway/src/plan.rs
@@ -1,5 +1,6 @@
 mod caller_limits;
 mod host_route;
+mod plan_change;
 mod plan_org;
 mod plan_parts;
 mod plan_service;
@@ -17,6 +18,7 @@
 
 pub use caller_limits::CallerLimits;
 pub use host_route::HostRoute;
+pub use plan_change::PlanChange;
 pub use plan_org::PlanOrg;
 pub use plan_service::PlanService;
 pub use request_kind::RequestKind;
--- a/crates/mh_gateway/src/plan/plan_parts.rs
+++ b/crates/mh_gateway/src/plan/plan_parts.rs
@@ -1,5 +1,7 @@
+use std::collections::HashMap;
+
 use mh_config::KeyHash;
-use mh_types::Revision;
+use mh_types::{OrgName, Revision};
 use serde::{Deserialize, Serialize};
 
 use super::{CallerLimits, HostRoute, Plan, PlanOrg, PlanService, Unreadable};
@@ -7,12 +9,12 @@
 /// A plan as it is sent between VMs, without its indexes.
 #[derive(Serialize, Deserialize)]
 pub(super) struct PlanParts {
-    revision: Revision,
-    routes: Vec<HostRoute>,
-    services: Vec<PlanService>,
-    orgs: Vec<(PlanOrg, Vec<KeyHash>)>,
-    limits: CallerLimits,
-    unreadable: Unreadable,
+    pub(super) revision: Revision,
+    pub(super) routes: Vec<HostRoute>,
+    pub(super) services: Vec<PlanService>,
+    pub(super) orgs: Vec<(PlanOrg, Vec<KeyHash>)>,
+    pub(super) limits: CallerLimits,
+    pub(super) unreadable: Unreadable,
 }
 
 impl From<PlanParts> for Plan {
@@ -25,19 +27,24 @@
 
 impl From<Plan> for PlanParts {
     fn from(plan: Plan) -> Self {
-        let keys_of = |org: &PlanOrg| {
-            let keys = plan.keys.iter().filter(|(_, holder)| holder.name == org.name);
-            keys.map(|(key, _)| *key).collect()
-        };
+        let mut keys: HashMap<&OrgName, Vec<KeyHash>> = HashMap::new();
+        for (key, holder) in &plan.keys {
+            keys.entry(&holder.name).or_default().push(*key);
+        }
+        // The same plan has the same form on every VM.
+        for keys in keys.values_mut() {
+            keys.sort_unstable();
+        }
+        let orgs = plan.orgs.values().map(|org| {
+            let keys = keys.remove(&org.name).unwrap_or_default();
+            (PlanOrg::clone(org), keys)
+        });
+        let orgs = orgs.collect();
         Self {
             revision: plan.revision,
             routes: plan.routes().map(|route| HostRoute::clone(route)).collect(),
             services: plan.services.values().cloned().collect(),
-            orgs: plan
-                .orgs
-                .values()
-                .map(|org| (PlanOrg::clone(org), keys_of(org)))
-                .collect(),
+            orgs,
             limits: plan.limits,
             unreadable: plan.unreadable,
         }
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -27,6 +27,9 @@
     /// Memory that the process may use, in megabytes; bodies may hold a part of it.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u32,
+    /// Whether the whole fleet starts for the first time, so that no VM is listed yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Regions of the failure domains.
     pub regions: BTreeMap<DomainName, RegionName>,
     /// Promises over the whole fleet; those that are missing have the product's own values.
--- a/crates/mh_gateway/tests/relay.rs
+++ b/crates/mh_gateway/tests/relay.rs
@@ -9,15 +9,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mh_edge::Server;
 use mh_gateway::{
     Feed, GatewayListen, GatewayNode, GatewaySettings, HeaderNames, Interface, LookupQuery, PromiseSettings, Update,
 };
-use mh_types::VmName;
+use mh_types::{Code, VmName};
 use store::MemoryStore;
 
 /// VMs of the region.
 const VMS: usize = 6;
 
+/// VMs of a region in which those that start learn from others.
+const LARGE: usize = 10;
+
 /// Time after which an expected state that has not come about never will.
 const GIVE_UP: Duration = Duration::from_mins(1);
 
@@ -49,14 +53,15 @@
 
 impl Fleet {
     async fn start() -> Self {
+        Self::start_with(VMS).await
+    }
+
+    async fn start_with(count: usize) -> Self {
         let store = MemoryStore::new();
         store.put(Feed::Settings, Update::Plan(fixtures::plan(1).into()));
         let mut vms = Vec::new();
-        for n in 0..VMS {
-            let cfg = settings(n);
-            let source = Arc::new(store.source(&cfg.vm));
-            let node = GatewayNode::start(cfg, HeaderNames::default(), Arc::new(PlainInterface), source).await;
-            let (node, server) = node.expect("loopback ports are free");
+        for n in 0..count {
+            let (node, server) = start_vm(&store, n).await;
             // The port is served until the runtime of the test ends.
             std::mem::forget(server);
             vms.push(node);
@@ -90,6 +95,21 @@
     }
 }
 
+/// Starts a VM. A port that was found free may be taken by another process before it is bound, so others are tried.
+async fn start_vm(store: &MemoryStore, n: usize) -> (Arc<GatewayNode>, Server) {
+    for _ in 0..20 {
+        let cfg = settings(n);
+        let source = Arc::new(store.source(&cfg.vm));
+        let started = GatewayNode::start(cfg, HeaderNames::default(), Arc::new(PlainInterface), source).await;
+        match started {
+            Ok(started) => return started,
+            Err((Code::BindFailed, _)) => {}
+            Err((code, detail)) => panic!("{code} {detail}"),
+        }
+    }
+    panic!("no free loopback ports");
+}
+
 fn settings(n: usize) -> GatewaySettings {
     let port = || -> SocketAddr {
         // The UDP port of the same number is free too, as nothing else of the tests uses UDP.
@@ -109,6 +129,7 @@
         },
         threads: 1,
         memory_mb: 128,
+        first_start: false,
         descriptors: 256,
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
         promises: PromiseSettings::default(),
@@ -157,3 +178,59 @@
 
     fleet.all_serve(2).await;
 }
+
+/// Guards against a fleet each of whose VMs reads everything from the store when it starts.
+#[tokio::test]
+async fn vms_that_start_learn_from_others() {
+    let store = MemoryStore::new();
+    store.put(Feed::Settings, Update::Plan(fixtures::plan(1).into()));
+    store.put(Feed::Servers, fixtures::listed("s1", "v1"));
+    let mut fleet = Fleet { store, vms: Vec::new() };
+    for n in 0..VMS {
+        let (node, server) = start_vm(&fleet.store, n).await;
+        std::mem::forget(server);
+        fleet.vms.push(node);
+    }
+    fleet.all_serve(1).await;
+    let readers = fleet.readers(2).await;
+    fleet.store.take_calls();
+
+    let (late, server) = start_vm(&fleet.store, LARGE).await;
+    std::mem::forget(server);
+    let name = late.gateway().vm().clone();
+    fleet.vms.push(late);
+    fleet.all_serve(1).await;
+
+    let calls = fleet.store.take_calls();
+    // The list of VMs, and its own entry.
+    assert!(calls[&name] <= 2, "{calls:?}");
+    assert!(!readers.contains(&name));
+    let live = fleet.vms[LARGE].gateway().live();
+    assert_eq!(live.backends[fixtures::SERVICE].pool.slots(), 4);
+}
+
+/// Guards against a VM that takes over, when it starts, what was removed before: it must not learn from one that has not
+/// heard of the removal.
+#[tokio::test]
+async fn a_vm_that_starts_learns_nothing_that_was_gone_before() {
+    let fleet = Fleet::start_with(LARGE).await;
+    fleet.store.put(Feed::Servers, fixtures::listed("s1", "v1"));
+    fleet.all_serve(1).await;
+    for round in 0..3 {
+        let name = format!("left-{round}");
+        fleet.store.put(Feed::Servers, fixtures::listed(&name, "v1"));
+        fleet.store.put(Feed::Servers, fixtures::removed(&name));
+        fleet
+            .store
+            .put(Feed::Settings, Update::Plan(fixtures::plan(round + 2).into()));
+
+        let (late, server) = start_vm(&fleet.store, LARGE + round as usize).await;
+        std::mem::forget(server);
+        eventually(|| late.gateway().live().ready).await;
+
+        let live = late.gateway().live();
+        assert_eq!(live.plan.as_ref().unwrap().revision.0, round + 2);
+        let view = live.backends[fixtures::SERVICE].pool.view(tokio::time::Instant::now());
+        assert!(view.iter().all(|server| server.name.as_str() != name), "{view:?}");
+    }
+}
--- a/crates/mh_gateway/tests/troubled_servers.rs
+++ b/crates/mh_gateway/tests/troubled_servers.rs
@@ -8,7 +8,7 @@
 use site::{OK, Reply, Site};
 
 /// Longest wait for something that must happen; bounds a hang, not speed.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// An answer whose body tells the id that it was made for, with a short delay.
 const SLOW_ECHO: Reply = Reply::Later(
@@ -235,7 +235,10 @@
 
             for path in ["/pay/000", "/pay/001", "/pay/002"] {
                 let answer = site.send("POST", path, "").await;
-                let is_sent = site.seen().iter().any(|head| head.starts_with(&format!("POST {path} ")));
+                let is_sent = site
+                    .seen()
+                    .iter()
+                    .any(|head| head.starts_with(&format!("POST {path} ")));
                 match answer.status {
                     200 => assert_eq!(answer.body, format!("q{path}"), "{late:?}"),
                     502 => assert!(is_sent, "{path} {late:?} {answer:?}"),
--- a/crates/mh_gateway/tests/unit/feed_states.rs
+++ b/crates/mh_gateway/tests/unit/feed_states.rs
@@ -34,6 +34,7 @@
         feeds: [FeedVersions { held, changed }; Feed::ALL.len()],
         register_down: None,
         changes: None,
+        plan_change: None,
     }
 }
 
--- a/crates/mh_gateway/tests/unit/quota_controller.rs
+++ b/crates/mh_gateway/tests/unit/quota_controller.rs
@@ -86,3 +86,51 @@
     // Each VM asks for 10 requests and owns a quarter of the quota, which is 20 requests in two seconds.
     assert!(count >= 30, "{count} of 40 requests were admitted");
 }
+
+/// Guards against owners that VMs do not agree on, that get more than an even part, or that all move with one VM.
+#[test]
+fn owners_are_even_and_move_little() {
+    let list: Vec<AnnouncedVm> = (0..40).map(vm).collect();
+    let reversed: Vec<AnnouncedVm> = list.iter().rev().cloned().collect();
+    let fewer: Vec<AnnouncedVm> = list.iter().skip(1).cloned().collect();
+    let names = |vms: &[AnnouncedVm]| -> Vec<VmName> {
+        let hashed: Vec<HashedVm<'_>> = vms.iter().map(HashedVm::from).collect();
+        let owners = owners(&"coop".into(), 64, &hashed);
+        owners.into_iter().map(|(_, owner)| owner.vm.clone()).collect()
+    };
+
+    let (all, other_order, without_one) = (names(&list), names(&reversed), names(&fewer));
+
+    assert_eq!(all, other_order);
+    for vm in &list {
+        assert!(all.iter().filter(|owner| **owner == vm.vm).count() <= 2);
+    }
+    let moved = all.iter().zip(&without_one).filter(|(a, b)| a != b).count();
+    assert!(moved <= 8, "{moved} of 64 slots moved with one VM of 40");
+}
+
+/// Guards against a quota that its owner stops using while nobody asks for it.
+#[test]
+fn a_quiet_quota_is_ready_when_it_is_asked_for() {
+    let start = Instant::now();
+    let list = [vm(0)];
+    let me = Me {
+        vm: list[0].vm.clone(),
+        domain: list[0].domain.clone(),
+        incarnation: Incarnation(1),
+    };
+    let mut controller = QuotaController::new(me, start);
+    controller.sync(&plan(1, 100.0), &list, start, start);
+    let mut now = start;
+    while now < start + SECOND * 60 {
+        now += TICK;
+        controller.on_tick(now);
+    }
+
+    let limiters = controller.limiters();
+    let count = (0..200)
+        .filter(|_| limiters["coop"].meter().try_take_with(|| now, 1))
+        .count();
+
+    assert_eq!(count, 100);
+}
--- a/crates/mh_gateway/tests/uploads.rs
+++ b/crates/mh_gateway/tests/uploads.rs
@@ -122,7 +122,10 @@
 
     assert!(most > 0 && most <= HOLD_BYTES, "{most}");
     // A server has the head of those that are passed on, and nothing tells whether it ran them.
-    assert!(statuses.iter().all(|status| [408, 504].contains(status)), "{statuses:?}");
+    assert!(
+        statuses.iter().all(|status| [408, 504].contains(status)),
+        "{statuses:?}"
+    );
     assert!(statuses.contains(&408) && statuses.contains(&504), "{statuses:?}");
     assert_eq!(site.gateway.held_bytes(), 0);
 }
--- a/crates/mh_gateway/tests/world.rs
+++ b/crates/mh_gateway/tests/world.rs
@@ -193,3 +193,22 @@
     let view = live.backends[fixtures::SERVICE].pool.view(now);
     assert!(view[0].cold);
 }
+
+/// Guards against making the servers of every service anew, with all their indexes, for a change of one.
+#[test]
+fn only_the_servers_of_a_changed_service_are_made_anew() {
+    let now = Instant::now();
+    let mut world = world_with(vec![listed("s1", "v1")], now);
+    let first = world.live(&Live::default(), 3, now);
+
+    let unchanged = world.live(&first, 3, now);
+    world.apply(Feed::Servers, &batch(30, vec![listed("s2", "v1")]), false, now);
+    let changed = world.live(&unchanged, 3, now);
+    let shared_by_more = world.live(&changed, 4, now);
+
+    let of = |live: &Live| std::sync::Arc::clone(&live.backends[fixtures::SERVICE]);
+    assert!(std::sync::Arc::ptr_eq(&of(&first), &of(&unchanged)));
+    assert!(!std::sync::Arc::ptr_eq(&of(&unchanged), &of(&changed)));
+    assert!(!std::sync::Arc::ptr_eq(&of(&changed), &of(&shared_by_more)));
+    assert_eq!(changed.backends[fixtures::SERVICE].pool.slots(), 8);
+}
--- a/crates/mh_platform/src/http/client.rs
+++ b/crates/mh_platform/src/http/client.rs
@@ -14,8 +14,11 @@
 
 use crate::{Pace, PlatformError, Result};
 
-/// Largest answer that is read, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Largest answer that is read where nothing else is said, in bytes; an object of the store fits it.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Time after which a silent connection is probed, the time between two probes, and the probes without an answer that
 /// end it. A connection that went silent is found within 3 s, whatever waits on it.
@@ -29,6 +32,7 @@
 pub struct HttpClient {
     addr: SocketAddr,
     timeout: Duration,
+    max_answer_bytes: usize,
     pace: Pace,
     http: HyperClient<HttpConnector, Full<Bytes>>,
 }
@@ -79,15 +83,26 @@
         let http = HyperClient::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(30))
             .pool_timer(TokioTimer::new())
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Self {
             addr,
             timeout,
+            max_answer_bytes: MAX_ANSWER_BYTES,
             pace: Pace::new(per_second),
             http,
         }
     }
 
+    /// The same client, which reads no answer of more than `bytes`.
+    #[must_use]
+    pub fn with_max_answer_bytes(self, bytes: usize) -> Self {
+        Self {
+            max_answer_bytes: bytes,
+            ..self
+        }
+    }
+
     /// Sends a request; any failure after it was sent has the code `lost`.
     ///
     /// # Errors
@@ -97,7 +112,8 @@
         self.send_within(self.timeout, method, path, body, lost).await
     }
 
-    /// Like [`send`](Self::send), with another limit on the wait for the answer.
+    /// Like [`send`](Self::send), with another limit on the wait for the answer's head. An answer that has begun must be
+    /// whole within the client's own limit, so that one without end holds nobody up.
     ///
     /// # Errors
     ///
@@ -125,21 +141,25 @@
                 let code = if e.is_connect() { unsent(lost) } else { lost };
                 Report::new(e).change_context(PlatformError(code))
             })?;
-            let status = answer.status();
-            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|e| Report::new(error).attach(e.to_string()))?.to_bytes();
-            Ok(HttpAnswer { status, body })
+            Ok::<_, Report<PlatformError>>(answer)
         };
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(answer) => answer,
-            Err(_) => {
-                Err(Report::new(PlatformError(late(lost)))
-                    .attach(format!("no answer within {} ms", timeout.as_millis())))
-            }
-        }
+        let answer = tokio::time::timeout(timeout, exchange)
+            .await
+            .map_err(|_| too_late(lost, timeout))??;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), self.max_answer_bytes).collect();
+        let body = tokio::time::timeout(self.timeout, body)
+            .await
+            .map_err(|_| too_late(lost, self.timeout))?;
+        let body = body.map_err(|e| Report::new(error).attach(e.to_string()))?.to_bytes();
+        Ok(HttpAnswer { status, body })
     }
 }
 
+fn too_late(lost: Code, limit: Duration) -> Report<PlatformError> {
+    Report::new(PlatformError(late(lost))).attach(format!("no whole answer within {} ms", limit.as_millis()))
+}
+
 /// Code of a request that did not leave this VM.
 fn unsent(lost: Code) -> Code {
     if lost == Code::OutcomeUnknown {
--- a/crates/mh_relay/src/election.rs
+++ b/crates/mh_relay/src/election.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 
 use mh_types::{DomainName, VmName};
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::RelayLimits;
@@ -9,6 +10,10 @@
 /// VMs of a region that read. Two outlive the loss of one without a pause.
 const READERS: usize = 2;
 
+/// VMs that fetch from one VM. Four copies of a large change take a small VM's link a quarter of a second, and a region
+/// of a hundred VMs is reached in four steps.
+const FAN_OUT: usize = 4;
+
 /// VMs after which the wait before reading grows no more, so that the last VM of a large region takes over in time.
 const MAX_STAGGERS: usize = 8;
 
@@ -68,7 +73,7 @@
         let order = &self.order;
         self.heard.retain(|vm, _| order.contains(vm));
         // A fleet that starts would otherwise have every VM read until it heard the first ones.
-        let stops = self.is_reader && !was_listed && rank.is_some() && !self.is_first_choice();
+        let stops = self.is_reader && !was_listed && !self.order.is_empty() && !self.is_first_choice();
         if stops {
             self.is_reader = false;
             self.short_since = None;
@@ -92,6 +97,20 @@
         self.order.iter().filter(|vm| **vm != self.me)
     }
 
+    /// The VMs to fetch from, in the order in which to try them: the one before this in a tree whose roots are the first
+    /// readers, then those readers.
+    pub fn sources(&self) -> SmallVec<[VmName; 3]> {
+        let parent = self.rank.checked_sub(READERS).map(|place| place / FAN_OUT);
+        let parent = parent.and_then(|place| self.order.get(place));
+        let mut out: SmallVec<[VmName; 3]> = SmallVec::new();
+        for vm in parent.into_iter().chain(self.order.iter().take(READERS)) {
+            if *vm != self.me && !out.contains(vm) {
+                out.push(vm.clone());
+            }
+        }
+        out
+    }
+
     /// Whether every listed VM of the region reads anyway.
     pub fn is_alone(&self) -> bool {
         !self.order.is_empty() && self.order.len() <= READERS
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -35,6 +35,8 @@
 pub struct ObjectPool {
     clock: Clock,
     servers: Vec<Server>,
+    /// Places of the servers by name.
+    places: HashMap<ServerName, usize>,
     /// Time between two requests of this VM to one cold server.
     cold_gap: Micros,
 }
@@ -114,9 +116,13 @@
                 track,
             }
         });
+        let servers: Vec<Server> = servers.collect();
+        let places = servers.iter().enumerate();
+        let places = places.map(|(place, server)| (server.spec.name.clone(), place));
         Self {
             clock,
-            servers: servers.collect(),
+            places: places.collect(),
+            servers,
             cold_gap,
         }
     }
@@ -264,11 +270,11 @@
 
     /// Takes in the load that a server told another VM; `false` for a server that is not in the pool.
     pub fn on_report(&self, now: Instant, name: &ServerName, load: u32) -> bool {
-        let server = self.servers.iter().find(|server| server.spec.name == *name);
-        if let Some(server) = server {
-            server.track.on_report(self.clock.micros(now), load);
+        let place = self.places.get(name);
+        if let Some(place) = place {
+            self.servers[*place].track.on_report(self.clock.micros(now), load);
         }
-        server.is_some()
+        place.is_some()
     }
 
     /// Whether the pool has no servers.
--- a/src/bin/mangohook/main.rs
+++ b/src/bin/mangohook/main.rs
@@ -7,10 +7,6 @@
 
 use clap::{Parser, Subcommand};
 use mh_node::{Exit, Node, VmSettings, init_logging, run_until_signal};
-use mimalloc::MiMalloc;
-
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
 
 /// Steers callers' requests to backend servers.
 #[derive(Debug, Parser)]
