--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -1,7 +1,10 @@
+use std::hash::Hasher;
+
 use mh_budget::Answer;
 use mh_types::{OrgName, ServerName, VmName};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 
 use super::news::News;
 
@@ -9,9 +12,27 @@
 /// store, and owns its shares of quotas by the list alone.
 pub(crate) const WIRE_VERSION: u8 = 1;
 
+/// Bytes before the content: the version and a checksum of the content.
+const HEAD_BYTES: usize = 1 + size_of::<u64>();
+
 /// Encodes what `from` tells.
 pub(crate) fn encode<T: Serialize>(from: &VmName, message: &T) -> postcard::Result<Vec<u8>> {
-    postcard::to_stdvec(&(WIRE_VERSION, from, message))
+    Ok(seal(&postcard::to_stdvec(&(from, message))?))
+}
+
+fn seal(content: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(HEAD_BYTES + content.len());
+    out.push(WIRE_VERSION);
+    out.extend_from_slice(&checksum(content).to_le_bytes());
+    out.extend_from_slice(content);
+    out
+}
+
+/// A version or share that was changed on the way could be believed for the rest of a process's life.
+fn checksum(content: &[u8]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(content);
+    hasher.finish()
 }
 
 /// Decodes a message with the name of its sender.
@@ -20,11 +41,16 @@
 ///
 /// A text when the bytes are no message of this version.
 pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<(VmName, T), String> {
-    let (version, rest) = postcard::take_from_bytes::<u8>(bytes).map_err(|e| e.to_string())?;
-    if version != WIRE_VERSION {
-        return Err(format!("version {version} is not known"));
+    let Some((head, content)) = bytes.split_at_checked(HEAD_BYTES) else {
+        return Err("it is too short".to_owned());
+    };
+    if head[0] != WIRE_VERSION {
+        return Err(format!("version {} is not known", head[0]));
     }
-    postcard::from_bytes(rest).map_err(|e| e.to_string())
+    if head[1..] != checksum(content).to_le_bytes() {
+        return Err("its checksum is wrong".to_owned());
+    }
+    postcard::from_bytes(content).map_err(|e| e.to_string())
 }
 
 /// What one VM tells another in a datagram; any of them may be lost.
@@ -55,3 +81,7 @@
         answer: Answer,
     },
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/datagram.rs"]
+mod tests;
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -154,3 +154,7 @@
     node.set_vms(alive.len(), listed, callers);
     (alive, node.sharing_vms())
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/member_loop.rs"]
+mod tests;
--- /dev/null
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -0,0 +1,340 @@
+//! Messages of other VMs with contents that no sound VM sends.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use mh_budget::{Ask, Body, Loan, Msg as LendMsg, Return, Share};
+use mh_config::KeyHash;
+use mh_platform::BoxFuture;
+use mh_types::{Code, Incarnation, Revision, ServerName, ServiceName};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::*;
+use crate::control::news::{Changes, FeedVersions, News};
+use crate::{
+    Batch, CallerLimits, GatewayListen, GatewaySettings, HeaderNames, HostRoute, Interface, LookupQuery,
+    Plan, PlanOrg, PlanService, PromiseSettings, RegisteredServer, RequestKind, ShiftOrder, ShiftPhase, ShiftRecord,
+    Source, Target, Update, Written,
+};
+
+/// Mutated messages that CI tries; more by hand with `FUZZ_CASES`.
+const CASES: usize = 3000;
+
+#[derive(Debug)]
+struct Plain;
+
+impl Interface for Plain {
+    fn lookup_path(&self) -> &'static str {
+        "/lookup"
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+
+    fn lookup_query(&self, _query: &str) -> LookupQuery {
+        LookupQuery { region: None }
+    }
+
+    fn lookup_answer(&self, _vms: &[SocketAddr], _lifetime: Duration) -> Bytes {
+        Bytes::new()
+    }
+}
+
+/// A store that tells one plan, one server and two VMs, and no changes.
+#[derive(Debug)]
+struct Still;
+
+impl Source for Still {
+    fn read(&self, feed: Feed) -> BoxFuture<'_, mh_platform::Result<Batch>> {
+        let updates = match feed {
+            Feed::Settings => vec![Update::Plan(plan(1, 50.0, 1.0).into())],
+            Feed::Servers => vec![Update::Server("s1".into(), Some(server(4, Duration::ZERO)))],
+            Feed::Shifts => Vec::new(),
+            Feed::Vms => ["vm-0", "vm-1"]
+                .map(|name| Update::Vm(name.into(), Some(listed(name))))
+                .into(),
+        };
+        Box::pin(std::future::ready(Ok(batch(10, updates))))
+    }
+
+    fn changes(&self, _: Feed, _: u64, _: Duration) -> BoxFuture<'_, mh_platform::Result<Option<Batch>>> {
+        Box::pin(std::future::pending())
+    }
+
+    fn announce<'a>(&'a self, _: &'a AnnouncedVm) -> BoxFuture<'a, mh_platform::Result<()>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn withdraw<'a>(&'a self, _: &'a VmName) -> BoxFuture<'a, mh_platform::Result<()>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn record_shift<'a>(
+        &'a self,
+        _: &'a ServiceName,
+        _: &'a ShiftRecord,
+        _: u64,
+    ) -> BoxFuture<'a, mh_platform::Result<Written>> {
+        Box::pin(std::future::ready(Ok(Written::Conflict)))
+    }
+}
+
+fn batch(version: u64, updates: Vec<Update>) -> Batch {
+    Batch {
+        version,
+        changed: version,
+        clock: Duration::from_secs(5),
+        updates,
+    }
+}
+
+fn listed(name: &str) -> AnnouncedVm {
+    AnnouncedVm {
+        vm: name.into(),
+        domain: "a".into(),
+        region: "north".into(),
+        callers: "127.0.0.1:1".parse().expect("a literal address"),
+        peers: "127.0.0.1:9".parse().expect("a literal address"),
+    }
+}
+
+fn server(slots: u32, cold_for: Duration) -> RegisteredServer {
+    RegisteredServer {
+        service: "stock".into(),
+        addr: "127.0.0.1:8001".parse().expect("a literal address"),
+        domain: "a".into(),
+        version: "v1".into(),
+        slots,
+        leaving: false,
+        cold_for,
+        run: 1,
+    }
+}
+
+fn plan(revision: u64, rate: f64, number: f64) -> Plan {
+    let route = HostRoute {
+        name: "r".into(),
+        host: "shop.example".into(),
+        prefix: "/r/".into(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        latency_target: Duration::from_millis(400),
+        max_attempts: 2,
+        priority: 0,
+        open: true,
+        sticky: true,
+        regions: Vec::new(),
+        targets: vec![Target {
+            service: "stock".into(),
+            weight: number,
+        }],
+    };
+    let service = PlanService {
+        name: "stock".into(),
+        max_connections: number as u32,
+        cold_per_s: number,
+    };
+    let org = PlanOrg {
+        name: "coop".into(),
+        rate_per_s: rate,
+        burst: rate,
+        priority: 0,
+        regions: Vec::new(),
+    };
+    let keys = vec![KeyHash::of("k")];
+    Plan::new(
+        Revision(revision),
+        vec![route],
+        vec![service],
+        vec![(org, keys)],
+        CallerLimits::default(),
+    )
+}
+
+async fn node() -> Arc<GatewayNode> {
+    for _ in 0..20 {
+        let port = || -> SocketAddr {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port");
+            listener.local_addr().expect("a bound address")
+        };
+        let cfg = GatewaySettings {
+            vm: "vm-0".into(),
+            domain: "a".into(),
+            region: "north".into(),
+            listen: GatewayListen {
+                callers: port(),
+                health: port(),
+                lookups: port(),
+                peers: port(),
+            },
+            threads: 1,
+            memory_mb: 128,
+            first_start: false,
+            descriptors: 256,
+            regions: BTreeMap::from([("a".into(), "north".into())]),
+            promises: PromiseSettings::default(),
+            log: log::LevelFilter::Off,
+        };
+        match GatewayNode::start(cfg, HeaderNames::default(), Arc::new(Plain), Arc::new(Still)).await {
+            Ok((node, server)) => {
+                // The port is served until the runtime of the test ends.
+                std::mem::forget(server);
+                while !node.gateway.live().ready {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                return node;
+            }
+            // Another process took a port that was free.
+            Err((Code::BindFailed, _)) => {}
+            Err((code, detail)) => panic!("{code} {detail}"),
+        }
+    }
+    panic!("no free loopback ports");
+}
+
+fn news(number: u64, time: Duration, changes: Option<Changes>) -> Datagram {
+    Datagram::News(News {
+        clock: time,
+        feeds: [FeedVersions {
+            held: number,
+            changed: number,
+        }; Feed::ALL.len()],
+        register_down: Some(time),
+        changes,
+        plan_change: None,
+    })
+}
+
+/// Messages of every kind, with usual and with extreme figures.
+fn messages(number: u64, time: Duration) -> Vec<Datagram> {
+    let record = ShiftRecord {
+        to: "v2".into(),
+        order: number,
+        started: time,
+        phase: ShiftPhase::Exposing,
+        version: number,
+    };
+    let order = ShiftOrder {
+        to: "v2".into(),
+        duration: time,
+        version: number,
+    };
+    let float = f64::from_bits(number.rotate_left(52));
+    let updates: [(Feed, Vec<Update>); 4] = [
+        (
+            Feed::Settings,
+            vec![
+                Update::Plan(plan(number, float, float).into()),
+                Update::Order("stock".into(), Some(order)),
+                Update::Drained("a".into(), true),
+            ],
+        ),
+        (
+            Feed::Servers,
+            vec![
+                Update::Server("s2".into(), Some(server(number as u32, time))),
+                Update::Server("s1".into(), None),
+            ],
+        ),
+        (Feed::Shifts, vec![Update::Shift("stock".into(), Some(record))]),
+        (Feed::Vms, vec![Update::Vm("vm-7".into(), Some(listed("vm-7")))]),
+    ];
+    let mut out: Vec<Datagram> = updates
+        .into_iter()
+        .map(|(feed, updates)| {
+            let after = 0;
+            news(number, time, Some(Changes { feed, after, updates }))
+        })
+        .collect();
+    let share = Share(number);
+    let bodies = [
+        Body::Ask(Ask {
+            number,
+            lender: Incarnation(number),
+            held: share,
+            returned: number,
+            need: share,
+            want: share,
+            elsewhere: share,
+            level: number,
+        }),
+        Body::Loan(Loan {
+            borrower: Incarnation(number),
+            number,
+            share,
+            tokens: number,
+            lease: time,
+            level: number,
+        }),
+        Body::Return(Return {
+            number,
+            lender: Incarnation(number),
+            tokens: number,
+        }),
+    ];
+    let lend = bodies.map(|body| LendMsg {
+        budget: "coop".into(),
+        incarnation: Incarnation(number),
+        body,
+    });
+    let server: ServerName = "s1".into();
+    out.extend([
+        news(number, time, None),
+        Datagram::NoNews,
+        Datagram::Loads(vec![(server, number as u32)]),
+        Datagram::Lend(lend.into()),
+        Datagram::Take {
+            number,
+            org: "coop".into(),
+        },
+    ]);
+    out
+}
+
+/// Guards against a message that ends the exchange with all other VMs, or the serving of callers.
+#[tokio::test]
+async fn no_message_ends_the_process() {
+    let cases = std::env::var("FUZZ_CASES").ok().and_then(|text| text.parse().ok());
+    let node = node().await;
+    let mut rng = StdRng::seed_from_u64(29);
+    let from: VmName = "vm-1".into();
+    let extremes = [
+        (11, Duration::from_secs(1)),
+        (0, Duration::ZERO),
+        (u64::MAX, Duration::MAX),
+        (u64::MAX / 2, Duration::from_secs(u64::MAX / 4)),
+        (1 << 62, Duration::from_nanos(1)),
+    ];
+    let mut known: Vec<Vec<u8>> = Vec::new();
+    for (number, time) in extremes {
+        for message in messages(number, time) {
+            known.push(postcard::to_stdvec(&message).expect("it has an encoded form"));
+            take(&node, &from, message);
+            tick(&node, Instant::now());
+        }
+    }
+
+    let mut understood = 0;
+    for _ in 0..cases.unwrap_or(CASES) {
+        let mut bytes = known[rng.random_range(0..known.len())].clone();
+        for _ in 0..rng.random_range(1..4) {
+            let place = rng.random_range(0..bytes.len());
+            match rng.random_range(0..4) {
+                0 => bytes[place] = rng.random(),
+                1 => bytes.truncate(place + 1),
+                2 => drop(bytes.splice(place..=place, [0xff; 9].into_iter().chain([1]))),
+                _ => bytes[place] ^= 1 << rng.random_range(0..8),
+            }
+        }
+        if let Ok(message) = postcard::from_bytes::<Datagram>(&bytes) {
+            understood += 1;
+            take(&node, &from, message);
+            tick(&node, Instant::now());
+        }
+    }
+
+    assert!(understood > 100, "{understood}");
+    assert!(node.gateway.live().plan.is_some());
+}
