--- a/crates/mh_admin/src/metrics.rs
+++ b/crates/mh_admin/src/metrics.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use opentelemetry::metrics::MeterProvider;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    meter: Meter,
     // Instruments stop reporting when their provider is dropped.
     _provider: SdkMeterProvider,
 }
@@ -63,10 +64,22 @@
         }
         Ok(Self {
             registry,
+            meter,
             _provider: provider,
         })
     }
 
+    /// A histogram with these upper bounds of its buckets.
+    pub fn histogram(&self, name: &'static str, help: &'static str, bounds: &[f64]) -> Histogram<u64> {
+        let histogram = self.meter.u64_histogram(name).with_description(help);
+        histogram.with_boundaries(bounds.to_vec()).build()
+    }
+
+    /// A counter whose values are told apart by labels.
+    pub fn counter(&self, name: &'static str, help: &'static str) -> Counter<u64> {
+        self.meter.u64_counter(name).with_description(help).build()
+    }
+
     /// The current values.
     pub fn render(&self) -> String {
         let mut out = Vec::new();
--- a/crates/mh_ctl/src/cli.rs
+++ b/crates/mh_ctl/src/cli.rs
@@ -96,6 +96,20 @@
     Status,
     /// Prints the state of one VM's process
     Dump,
+    /// Tells the story of a request from the logs of gateway VMs
+    Explain {
+        /// Id of the request
+        request: String,
+        /// Logs of VMs
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
+    /// Shows what a gateway VM believes; `--admin` names its port for checks
+    Gateway {
+        /// Also lists every backend server
+        #[arg(long)]
+        servers: bool,
+    },
     /// Prints a completion script for a shell
     Completions {
         /// Shell
--- a/crates/mh_ctl/src/command.rs
+++ b/crates/mh_ctl/src/command.rs
@@ -1,4 +1,6 @@
 pub(crate) mod drains;
+pub(crate) mod explain;
+pub(crate) mod gateway;
 pub(crate) mod keys;
 pub(crate) mod settings;
 pub(crate) mod shifts;
--- a/crates/mh_ctl/src/lib.rs
+++ b/crates/mh_ctl/src/lib.rs
@@ -15,6 +15,7 @@
 mod client;
 mod command;
 mod ctl_error;
+mod log_line;
 mod output;
 mod run;
 
--- a/crates/mh_ctl/src/run.rs
+++ b/crates/mh_ctl/src/run.rs
@@ -1,7 +1,7 @@
 use clap::CommandFactory;
 use mh_node::Exit;
 
-use crate::command::{drains, keys, settings, shifts, status};
+use crate::command::{drains, explain, gateway, keys, settings, shifts, status};
 use crate::{Cli, Client, Command, CtlError};
 
 /// Carries out one command.
@@ -28,6 +28,8 @@
         Command::Drains(command) => drains::run(&client, format, command).await,
         Command::Status => status::status(&client, format).await,
         Command::Dump => status::dump(&client, format).await,
+        Command::Explain { request, logs } => explain::explain(format, &request, &logs),
+        Command::Gateway { servers } => gateway::gateway(&client, format, servers).await,
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "mangohookctl", &mut std::io::stdout());
             Ok(Exit::Done)
--- a/crates/mh_gateway/src/control/feed_states.rs
+++ b/crates/mh_gateway/src/control/feed_states.rs
@@ -1,4 +1,5 @@
 use mh_relay::ChangeLog;
+use tokio::time::Instant;
 
 use super::news::{Changes, FeedVersions, News};
 use crate::source::Subject;
@@ -26,6 +27,8 @@
     log: ChangeLog<Subject, Update>,
     /// Whether this VM's last read failed.
     is_failing: bool,
+    /// When what is held was last confirmed as the newest, by a read or by another VM's news.
+    confirmed_at: Option<Instant>,
 }
 
 impl FeedStates {
@@ -57,13 +60,19 @@
         self.of(feed).is_failing
     }
 
+    /// When what is held of `feed` was last confirmed as the newest.
+    pub(crate) fn confirmed_at(&self, feed: Feed) -> Option<Instant> {
+        self.of(feed).confirmed_at
+    }
+
     /// Takes in what a read told, from the store or from another VM.
-    pub(crate) fn accept(&mut self, feed: Feed, batch: &Batch, is_whole: bool) -> Accepted {
+    pub(crate) fn accept(&mut self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) -> Accepted {
         let state = self.of_mut(feed);
         // An answer from an old copy of the store, or one that another VM's news overtook, must take nothing back.
         if state.versions.is_some_and(|held| batch.version < held.held) {
             return Accepted::Nothing;
         }
+        state.confirmed_at = Some(now);
         if is_whole {
             state.log.reset(batch.version);
             state.versions = Some(FeedVersions {
@@ -102,11 +111,15 @@
 
     /// Compares with another VM's news: what is held up to date counts as held up to its version. Returns the feeds of
     /// which the other holds more.
-    pub(crate) fn compare(&mut self, news: &News) -> Vec<Feed> {
+    pub(crate) fn compare(&mut self, news: &News, now: Instant) -> Vec<Feed> {
         let mut behind = Vec::new();
         for (feed, told) in Feed::ALL.into_iter().zip(news.feeds) {
-            match &mut self.of_mut(feed).versions {
-                Some(own) if own.held >= told.changed => own.held = own.held.max(told.held),
+            let state = self.of_mut(feed);
+            match &mut state.versions {
+                Some(own) if own.held >= told.changed => {
+                    own.held = own.held.max(told.held);
+                    state.confirmed_at = Some(now);
+                }
                 Some(_) => behind.push(feed),
                 // The first read goes to the store.
                 None => return Vec::from(Feed::ALL),
--- a/crates/mh_gateway/src/control/relay.rs
+++ b/crates/mh_gateway/src/control/relay.rs
@@ -17,6 +17,7 @@
 use super::news::{Changes, FeedVersions, Fetched, News};
 use super::{Datagram, encode};
 use crate::node::{GatewayNode, lock};
+use crate::request::add;
 use crate::{Batch, Feed, Plan, PlanChange, Update};
 
 /// Largest datagram with news, in bytes; it fits one packet. Others fetch changes that do not fit.
@@ -90,6 +91,25 @@
         }
     }
 
+    /// What is held of `feed` and how long ago that was confirmed, for the state dump.
+    pub(crate) fn feed_state(&self, feed: Feed, now: Instant) -> serde_json::Value {
+        let feeds = lock(&self.feeds);
+        let versions = feeds.versions(feed);
+        serde_json::json!({
+            "feed": feed.to_string(),
+            "held": versions.map(|versions| versions.held),
+            "changed": versions.map(|versions| versions.changed),
+            "age_ms": feeds.confirmed_at(feed).map(|at| now.saturating_duration_since(at).as_millis() as u64),
+            "failing": feeds.is_failing(feed),
+        })
+    }
+
+    /// Milliseconds since what is held of `feed` was confirmed as the newest; `None` before the first read.
+    pub(crate) fn age_ms(&self, feed: Feed, now: Instant) -> Option<u64> {
+        let at = lock(&self.feeds).confirmed_at(feed)?;
+        Some(now.saturating_duration_since(at).as_millis() as u64)
+    }
+
     /// Whether `feed` is held up to the version `min`.
     pub(crate) fn holds(&self, feed: Feed, min: u64) -> bool {
         self.versions(feed).is_some_and(|versions| versions.held >= min)
@@ -233,6 +253,12 @@
     /// Records the outcome of a call of this VM to the store. The others are told at once when it fails, so that another
     /// VM reads for them before they miss this one's news.
     pub(crate) fn on_read(&self, feed: Feed, succeeded: bool, now: Instant) {
+        let counters = self.gateway.counters();
+        add(if succeeded {
+            &counters.store_reads
+        } else {
+            &counters.store_failures
+        });
         let was_reader = self.relay.is_reader();
         if self.relay.set_read(feed, succeeded, now) && was_reader {
             for vm in self.relay.peers() {
@@ -252,7 +278,7 @@
     pub(crate) fn take_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) {
         // Held while the world takes the batch in, so that nobody is given an older world with newer versions.
         let mut feeds = lock(&self.relay.feeds);
-        let accepted = feeds.accept(feed, batch, is_whole);
+        let accepted = feeds.accept(feed, batch, is_whole, now);
         let is_new = !matches!(accepted, Accepted::Nothing);
         let plan_before = lock(&self.world).plan().cloned();
         if is_new {
@@ -317,7 +343,7 @@
         if let Some(changes) = news.changes.take() {
             self.take_told(changes, news.plan_change.take(), &news, now);
         }
-        let behind = lock(&self.relay.feeds).compare(&news);
+        let behind = lock(&self.relay.feeds).compare(&news, now);
         if behind.is_empty() {
             self.on_vouched(from, now);
         } else if !behind.iter().any(|feed| self.relay.versions(*feed).is_none())
@@ -419,6 +445,7 @@
         let answer = answer.and_then(|answer| answer.expect_ok(Code::PeerUnreachable));
         let answer = answer.map_err(|e| e.current_context().to_string())?;
         let (_, fetched) = decode::<Fetched>(&answer.body)?;
+        add(&self.gateway.counters().fetches);
         let batch = Batch {
             version: fetched.versions.held,
             changed: fetched.versions.changed,
@@ -518,8 +545,9 @@
         }
     }
     node.relay.is_fetching.store(false, Ordering::Release);
-    if lock(&node.relay.feeds).compare(&news).is_empty() {
-        node.on_vouched(&from, Instant::now());
+    let now = Instant::now();
+    if lock(&node.relay.feeds).compare(&news, now).is_empty() {
+        node.on_vouched(&from, now);
     }
 }
 
--- a/crates/mh_gateway/src/logging.rs
+++ b/crates/mh_gateway/src/logging.rs
@@ -5,6 +5,7 @@
 
 pub use line_limit::LineLimit;
 use queue::LineQueue;
+pub(crate) use queue::lines_dropped;
 
 /// Sends log lines to standard output through a bounded queue, at most `limit` lines a second.
 ///
--- a/crates/mh_gateway/src/node.rs
+++ b/crates/mh_gateway/src/node.rs
@@ -2,6 +2,7 @@
 mod metrics;
 mod ports;
 mod shutdown;
+mod state_dump;
 mod supervise;
 
 pub use gateway_node::GatewayNode;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -17,6 +17,7 @@
 use super::ports;
 use super::supervise::supervise;
 use crate::control::{Datagram, QuotaController, Relay, StaleVms, World, encode, follow, run_members};
+use crate::request::Timings;
 use crate::{
     AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase,
     ShiftRecord, Source, Update,
@@ -138,6 +139,7 @@
         });
         node.gateway.connect(Arc::new(Peers(Arc::downgrade(&node))));
         let metrics = super::metrics::metrics(&node).map_err(|e| (Code::Internal, e.to_string()))?;
+        node.gateway.counters().set_timings(Timings::new(&metrics));
         let _ = node.metrics.set(metrics);
         emit!(
             Event::Started,
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -5,7 +5,15 @@
 use mh_admin::{Metric, Metrics};
 
 use super::GatewayNode;
+use crate::Feed;
+use crate::logging::lines_dropped;
 use crate::request::Counters;
+use tokio::time::Instant;
+
+/// Age of what is held of `feed`; the largest number before the first read.
+fn age_ms(node: &GatewayNode, feed: Feed) -> u64 {
+    node.relay.age_ms(feed, Instant::now()).unwrap_or(u64::MAX)
+}
 
 /// Metrics of a gateway VM.
 pub(super) fn metrics(node: &Arc<GatewayNode>) -> Result<Metrics, Box<dyn Error + Send + Sync>> {
@@ -45,6 +53,37 @@
         counter("retries", "Requests sent to a second server", |c| &c.retries),
         counter("connects", "Connections made to backend servers", |c| &c.connects),
         counter("lookups", "Look-ups answered", |c| &c.lookups),
+        counter("store_reads", "Calls for changes that the store answered", |c| {
+            &c.store_reads
+        }),
+        counter("store_failures", "Calls for changes that failed", |c| &c.store_failures),
+        counter(
+            "fetches",
+            "Answers of other VMs with changes that this one missed",
+            |c| &c.fetches,
+        ),
+        gauge("running", "Requests running now", |node| {
+            node.gateway.counters().running.load(Ordering::Relaxed)
+        }),
+        gauge(
+            "held_bytes",
+            "Memory that bodies of requests and answers hold",
+            |node| node.gateway.held_bytes() as u64,
+        ),
+        gauge("settings_age_ms", "Age of the settings", |node| {
+            age_ms(node, Feed::Settings)
+        }),
+        gauge("servers_age_ms", "Age of the register of servers", |node| {
+            age_ms(node, Feed::Servers)
+        }),
+        gauge(
+            "reads_store",
+            "Whether this VM reads the store for its region",
+            |node| u64::from(node.relay.is_reader()),
+        ),
+        gauge("log_lines_dropped", "Log lines left out since the start", |_| {
+            lines_dropped()
+        }),
         gauge("plan_revision", "Revision of the plan in force", |node| {
             node.gateway.live().plan.as_ref().map_or(0, |plan| plan.revision.0)
         }),
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -15,6 +15,7 @@
 use tokio::time::Duration;
 
 use super::GatewayNode;
+use super::state_dump::state_dump;
 use crate::control::{CHANGES_PATH, parse_query};
 use crate::request::add_lookup;
 
@@ -34,6 +35,9 @@
 /// Part of the descriptors that callers' connections may use; backend servers, the store and files need the others.
 const CALLER_PART: f64 = 0.6;
 
+/// Path of what this VM believes, on the port for checks.
+const STATE_PATH: &str = "/state";
+
 /// Path of the metrics, on the port for checks.
 const METRICS_PATH: &str = "/metrics";
 
@@ -60,7 +64,7 @@
     })
 }
 
-/// Serves readiness checks and metrics.
+/// Serves readiness checks, metrics and the state.
 pub(super) fn serve_health(listener: TcpListener, node: Arc<GatewayNode>) {
     tokio::spawn(accept(listener, node, |node, req| {
         Box::pin(std::future::ready(health(&node, &req)))
@@ -71,6 +75,9 @@
     if req.uri().path() == METRICS_PATH {
         return text(StatusCode::OK, node.metrics_text());
     }
+    if req.uri().path() == STATE_PATH {
+        return text(StatusCode::OK, state_dump(node).to_string());
+    }
     if req.uri().path() != node.interface.ready_path() {
         return text(StatusCode::NOT_FOUND, String::new());
     }
--- /dev/null
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -0,0 +1,63 @@
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::{GatewayNode, lock};
+use crate::Feed;
+
+/// What this VM believes, and how old it is, for people who look for the cause of a failure.
+pub(super) fn state_dump(node: &GatewayNode) -> Value {
+    let now = Instant::now();
+    let live = node.gateway.live();
+    let mut services = Vec::new();
+    let mut servers = Vec::new();
+    for (name, backends) in &live.backends {
+        let view = backends.pool.view(now);
+        let count = |is: fn(&mh_route::objects::ObjectServerView) -> bool| view.iter().filter(|s| is(s)).count();
+        services.push(json!({
+            "service": name,
+            "servers": view.len(),
+            "leaving": count(|server| server.leaving),
+            "cold": count(|server| server.cold),
+            "closed": count(|server| server.closed),
+            "slots": backends.pool.slots(),
+        }));
+        servers.extend(view.iter().map(|server| {
+            let mut value = json!(server);
+            value["service"] = json!(name);
+            value
+        }));
+    }
+    let quotas = live.quotas.iter().map(|(org, limiter)| {
+        let left = limiter.meter().level_micros(now) as f64 / mh_budget::MICROS as f64;
+        json!({"organisation": org, "left": left})
+    });
+    let shifts = live.shifts.iter();
+    let shifts = shifts.map(|(service, shift)| json!({"service": service, "to": shift.to, "phase": shift.phase}));
+    let unreadable = live.plan.as_ref().map(|plan| {
+        let routes = plan
+            .routes()
+            .filter(|route| route.targets.is_empty())
+            .map(|route| &route.name);
+        json!({"routes": routes.collect::<Vec<_>>(), "unplaced_routes": plan.unreadable.routes,
+            "unknown_keys": plan.unreadable.orgs, "keys": plan.unreadable.keys.len()})
+    });
+    json!({
+        "vm": node.cfg.vm,
+        "domain": node.cfg.domain,
+        "region": node.cfg.region,
+        "ready": node.is_ready(),
+        "leaving": node.gateway.is_leaving(),
+        "revision": live.plan.as_ref().map(|plan| plan.revision),
+        "unreadable": unreadable,
+        "reads": node.relay.is_reader(),
+        "usable_vms": live.vms.len(),
+        "listed_vms": lock(&node.world).vms().count(),
+        "sharing_vms": node.sharing_vms(),
+        "held_bytes": node.gateway.held_bytes(),
+        "feeds": Feed::ALL.map(|feed| node.relay.feed_state(feed, now)),
+        "services": services,
+        "shifts": shifts.collect::<Vec<_>>(),
+        "quotas": quotas.collect::<Vec<_>>(),
+        "servers": servers,
+    })
+}
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -9,7 +9,9 @@
 mod held_answer;
 mod hold_budget;
 mod outgoing;
+mod timings;
 
 pub use counters::Counters;
-pub(crate) use counters::add_lookup;
+pub(crate) use counters::{add, add_lookup};
 pub use gateway::Gateway;
+pub(crate) use timings::Timings;
--- a/crates/mh_gateway/src/request/counters.rs
+++ b/crates/mh_gateway/src/request/counters.rs
@@ -1,5 +1,8 @@
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use super::timings::Timings;
+
 /// What happened to requests since the process started.
 #[derive(Debug, Default)]
 pub struct Counters {
@@ -19,6 +22,26 @@
     pub lookups: AtomicU64,
     /// Requests running now.
     pub running: AtomicU64,
+    /// Calls to the store that succeeded.
+    pub store_reads: AtomicU64,
+    /// Calls to the store that failed.
+    pub store_failures: AtomicU64,
+    /// Answers from other VMs with changes that this one missed.
+    pub fetches: AtomicU64,
+    pub(super) timings: OnceLock<Timings>,
+}
+
+impl Counters {
+    /// Gives the instruments of latencies; without them latencies are not recorded.
+    pub(crate) fn set_timings(&self, timings: Timings) {
+        // A second call changes nothing.
+        let _ = self.timings.set(timings);
+    }
+
+    /// The instruments of latencies.
+    pub(super) fn timings(&self) -> Option<&Timings> {
+        self.timings.get()
+    }
 }
 
 /// Counts a request as running until dropped.
@@ -37,7 +60,7 @@
     }
 }
 
-pub(super) fn add(counter: &AtomicU64) {
+pub(crate) fn add(counter: &AtomicU64) {
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -79,6 +79,9 @@
         ));
     };
     let sent_at = Instant::now();
+    if let Some(timings) = counters.timings() {
+        timings.on_sent(sent_at - cx.arrived);
+    }
     let req = message(head, cx, &server, upload);
     let (sent, connection) = send(cx, attempt, connection, req, &placed, counters).await;
     match sent {
@@ -87,7 +90,11 @@
                 connection,
                 may_keep: body.is_sent_whole(),
             };
-            receive(cx, attempt, connection, placed, answer, sent_at).await
+            let answered = receive(cx, attempt, connection, placed, answer, sent_at).await;
+            if let (Ok(_), Some(timings)) = (&answered, counters.timings()) {
+                timings.on_answer(sent_at.elapsed());
+            }
+            answered
         }
         Err((failure, outcome)) => {
             // The caller broke off its body; that says nothing about the server.
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -145,6 +145,9 @@
             }
             Err(refusal) => self.refuse(refusal, &id, &id_header, arrived),
         };
+        if let Some(timings) = self.counters.timings() {
+            timings.on_end(arrived.elapsed());
+        }
         if self.is_leaving() {
             answer
                 .headers_mut()
@@ -159,6 +162,9 @@
             Run::Unknown => (&self.counters.failed, Event::RequestFailed),
         };
         add(counter);
+        if let Some(timings) = self.counters.timings() {
+            timings.on_refusal(refusal.code);
+        }
         let retry_after = refusal.retry_after.filter(|_| refusal.run == Run::NotRun);
         emit!(
             event,
