--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -38,7 +38,7 @@
 pub use header_names::HeaderNames;
 pub use interface::{Interface, LookupQuery};
 pub use live::{ActiveShift, Live};
-pub use logging::{LineLimit, init_logging};
+pub use logging::{LineLimit, flush_logging, init_logging};
 pub use node::{GatewayNode, Stopped, run_until_signal};
 pub use pause::BootClock;
 pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, Unreadable};
--- a/crates/mh_gateway/src/logging/queue.rs
+++ b/crates/mh_gateway/src/logging/queue.rs
@@ -17,11 +17,19 @@
 /// Time between two writes to standard output. Writing many lines at once costs one system call.
 const FLUSH_EVERY: Duration = Duration::from_millis(250);
 
+/// What the writing thread gets.
+#[derive(Debug)]
+enum Entry {
+    Line(String),
+    /// Asks to write everything at once, and to say so.
+    Flush(SyncSender<()>),
+}
+
 /// Lines on their way to standard output.
 #[derive(Debug)]
 pub(super) struct LineQueue {
     limit: LineLimit,
-    lines: SyncSender<String>,
+    lines: SyncSender<Entry>,
     started: Instant,
     /// Second that the counters are for.
     second: AtomicU64,
@@ -85,11 +93,20 @@
             false
         };
         let is_over = is_left_out || self.all.fetch_add(1, Ordering::Relaxed) >= self.limit.all_per_s;
-        if is_over || self.lines.try_send(line).is_err() {
+        if is_over || self.lines.try_send(Entry::Line(line)).is_err() {
             self.drop_one();
         }
     }
 
+    /// Waits until the lines so far are written, for at most `limit`; for the end of the process.
+    pub(super) fn flush(&self, limit: Duration) {
+        let (done, written) = sync_channel(1);
+        if self.lines.try_send(Entry::Flush(done)).is_ok() {
+            // A reader that has stopped loses the lines.
+            let _ = written.recv_timeout(limit);
+        }
+    }
+
     fn drop_one(&self) {
         self.dropped.fetch_add(1, Ordering::Relaxed);
         DROPPED.fetch_add(1, Ordering::Relaxed);
@@ -116,7 +133,7 @@
                 jiff::Timestamp::now(),
                 event.level()
             );
-            if self.lines.try_send(line).is_err() {
+            if self.lines.try_send(Entry::Line(line)).is_err() {
                 self.dropped.fetch_add(dropped, Ordering::Relaxed);
             }
         }
@@ -151,15 +168,25 @@
     (hasher.finish() >> 48) as u32
 }
 
-fn write_lines(queue: &Receiver<String>, mut out: impl Write) {
+fn write_lines(queue: &Receiver<Entry>, mut out: impl Write) {
     while let Ok(first) = queue.recv() {
-        std::thread::sleep(FLUSH_EVERY);
-        let mut text = first;
-        while let Ok(line) = queue.try_recv() {
-            text.push_str(&line);
+        if matches!(first, Entry::Line(_)) {
+            std::thread::sleep(FLUSH_EVERY);
+        }
+        let mut text = String::new();
+        let mut flushed = Vec::new();
+        for entry in std::iter::once(first).chain(queue.try_iter()) {
+            match entry {
+                Entry::Line(line) => text.push_str(&line),
+                Entry::Flush(done) => flushed.push(done),
+            }
         }
         // A closed standard output loses lines; the process goes on.
         let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        for done in flushed {
+            // The one that asked may have stopped waiting.
+            let _ = done.try_send(());
+        }
     }
 }
 
--- a/crates/mh_gateway/tests/unit/line_queue.rs
+++ b/crates/mh_gateway/tests/unit/line_queue.rs
@@ -118,3 +118,15 @@
 
     assert!(lines_dropped() - before >= 2 * (4000 - 2 * QUEUE_LINES as u64 - 100));
 }
+
+/// Guards against a process whose last lines, which tell how its stop went, are never written.
+#[tokio::test]
+async fn the_last_lines_are_written_before_the_end() {
+    let out = Kept::default();
+    let queue = LineQueue::start(LIMIT, out.clone());
+    queue.push("2026-12-04T10:00:00Z INFO  E103 Stopped.\n".to_owned(), Level::Info);
+
+    queue.flush(Duration::from_mins(1));
+
+    assert!(String::from_utf8_lossy(&out.0.lock().expect("whole")).contains("E103"));
+}
--- a/src/bin/mangohook/gateway.rs
+++ b/src/bin/mangohook/gateway.rs
@@ -1,7 +1,7 @@
 use std::path::Path;
 
 use mangohook_platform::Deployment;
-use mh_gateway::{GatewayNode, LineLimit, Stopped, init_logging, run_until_signal};
+use mh_gateway::{GatewayNode, LineLimit, Stopped, flush_logging, init_logging, run_until_signal};
 use mh_node::Exit;
 use mh_types::{Event, emit};
 
@@ -35,7 +35,9 @@
             return Exit::Start;
         }
     };
-    runtime.block_on(serve(path, deployment))
+    let exit = runtime.block_on(serve(path, deployment));
+    flush_logging();
+    exit
 }
 
 async fn serve(path: &Path, deployment: Deployment) -> Exit {
