Forecast exposed requests by their own objects, and fetch within the failure domain

Cause 1: an exposed request was placed by one stand-in object, so that its server counted as holding the object. Change 1: requests that fill servers in order are forecast by their own objects. The new test fails before: 200 ms for a request that takes 600 ms without its object.

Change 2: the tree is over the failure domain; only its first VM fetches from a reader. VMs that are not listed yet ask one chosen by their names. Not yet measured.

Ruled out for cause 1: cold servers, which give no evidence already.

--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -16,9 +16,6 @@
 /// Servers that may be tried without reaching any of them; each costs up to the time limit of connecting.
 const MAX_UNREACHED: usize = 3;
 
-/// Object that stands for every exposed request, so that all VMs fill the servers of a new version in the same order.
-const EXPOSED_OBJECT: u64 = 0;
-
 /// What earlier attempts at one request left behind.
 #[derive(Default)]
 struct History {
@@ -119,7 +116,6 @@
     // Many versions that fail do so only under load, which the few exposed requests make on as few servers as possible.
     let expose = |to| {
         let ask = ObjectAsk {
-            object: Some(EXPOSED_OBJECT),
             versions: Versions::Only(to),
             pack: true,
             ..ask
--- a/crates/mh_relay/src/election.rs
+++ b/crates/mh_relay/src/election.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::RelayLimits;
-use crate::order::order;
+use crate::order::{order, weight};
 
 /// VMs of a region that read. Two outlive the loss of one without a pause.
 const READERS: usize = 2;
@@ -23,6 +23,8 @@
     me: VmName,
     limits: RelayLimits,
     order: Vec<VmName>,
+    /// VMs of the own failure domain, in the same order; empty while this VM is not listed.
+    neighbours: Vec<VmName>,
     rank: usize,
     /// When the news of each reader were last heard.
     heard: HashMap<VmName, Instant>,
@@ -44,6 +46,7 @@
             me,
             limits,
             order: Vec::new(),
+            neighbours: Vec::new(),
             rank: 0,
             heard: HashMap::new(),
             is_reader: true,
@@ -67,7 +70,11 @@
     /// Takes the listed VMs of the own region with their failure domains; returns whether this VM stops reading.
     pub fn set_vms(&mut self, vms: impl IntoIterator<Item = (VmName, DomainName)>, now: Instant) -> bool {
         let was_listed = self.order.contains(&self.me);
-        self.order = order(vms);
+        let domains: HashMap<VmName, DomainName> = vms.into_iter().collect();
+        self.order = order(domains.clone());
+        let own = domains.get(&self.me);
+        let neighbours = self.order.iter().filter(|vm| own.is_some() && domains.get(*vm) == own);
+        self.neighbours = neighbours.cloned().collect();
         let rank = self.order.iter().position(|vm| *vm == self.me);
         self.rank = rank.unwrap_or(self.order.len());
         let order = &self.order;
@@ -97,11 +104,15 @@
         self.order.iter().filter(|vm| **vm != self.me)
     }
 
-    /// The VMs to fetch from, in the order in which to try them: the one before this in a tree whose roots are the first
-    /// readers, then those readers.
+    /// The VMs to fetch from, in the order in which to try them: the one before this in a tree over its failure domain,
+    /// then the first readers, from which the first VM of each domain fetches. Few copies leave a domain that way.
     pub fn sources(&self) -> SmallVec<[VmName; 3]> {
-        let parent = self.rank.checked_sub(READERS).map(|place| place / FAN_OUT);
-        let parent = parent.and_then(|place| self.order.get(place));
+        let place = self.neighbours.iter().position(|vm| *vm == self.me);
+        let parent = match place {
+            Some(place) => place.checked_sub(1).map(|place| &self.neighbours[place / FAN_OUT]),
+            // VMs that are added together are not listed yet, and must not all ask the same one.
+            None => self.order.get(weight(&self.me) as usize % self.order.len().max(1)),
+        };
         let mut out: SmallVec<[VmName; 3]> = SmallVec::new();
         for vm in parent.into_iter().chain(self.order.iter().take(READERS)) {
             if *vm != self.me && !out.contains(vm) {
--- a/crates/mh_relay/src/order.rs
+++ b/crates/mh_relay/src/order.rs
@@ -21,7 +21,7 @@
     ranked.into_iter().map(|(_, _, vm)| vm).collect()
 }
 
-fn weight(vm: &VmName) -> u64 {
+pub(crate) fn weight(vm: &VmName) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(vm.as_str().as_bytes());
     hasher.finish()
--- a/crates/mh_route/src/objects/ask.rs
+++ b/crates/mh_route/src/objects/ask.rs
@@ -41,7 +41,8 @@
     pub versions: Versions<'a>,
     /// Servers that must not be used, such as those that were tried.
     pub exclude: &'a [ServerName],
-    /// Whether to fill one server after the other, each up to its slots, so that few requests show how it bears load.
+    /// Whether to fill one server after the other, each up to its slots, so that few requests show how it bears load. The
+    /// order is the same for all objects; whether a server holds the object still counts in the forecast.
     pub pack: bool,
     /// Observed work times of the route.
     pub work: &'a Arc<WorkTimes>,
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -21,6 +21,9 @@
 /// another object for it.
 const WARMING_COST: f64 = 1.2;
 
+/// Stands for the object of every packed request, so that all VMs fill servers in the same order.
+const PACK_ORDER: u64 = 0;
+
 /// Factor on the cost of a server whose answers are all errors, less one.
 const ERROR_COST: f64 = 9.0;
 
@@ -137,7 +140,8 @@
         let object = ask.object.unwrap_or(rnd);
         let mut best: Option<Forecast> = None;
         let mut soonest: Option<u64> = None;
-        for candidate in self.candidates(object, ask, at) {
+        let order = if ask.pack { PACK_ORDER } else { object };
+        for candidate in self.candidates(order, ask, at) {
             let forecast = self.forecast(candidate, object, ask, at);
             if forecast.finish_us > micros(ask.left) {
                 soonest = Some(soonest.map_or(forecast.finish_us, |s| s.min(forecast.finish_us)));
@@ -232,7 +236,9 @@
         } = candidate;
         let server = &self.servers[index];
         let track = &server.track;
-        let holds = track.recent.holds(object, at) || (is_first && !track.cold.is_cold(at));
+        // The first server of a packed order is no object's first choice.
+        let is_choice = is_first && !ask.pack && !track.cold.is_cold(at);
+        let holds = track.recent.holds(object, at) || is_choice;
         let warm = ask.object.is_some() && holds;
         let slowness = track.slowness(at);
         let work = ask.work.expected_us(warm) as f64 * slowness;
--- a/crates/mh_route/tests/objects.rs
+++ b/crates/mh_route/tests/objects.rs
@@ -229,6 +229,32 @@
     }
 }
 
+/// Guards against taking a sound new version for a slow one: its servers hold no objects yet, and their answers were
+/// compared with those of servers that do. Seen on the further site, inc-be29: a good version was taken back after 1.2 s
+/// with answers of 2.8 times the forecast.
+#[test]
+fn a_packed_request_is_expected_to_take_as_long_as_without_its_object() {
+    let now = Instant::now();
+    let work = work();
+    let pool = pool(&servers(3), now);
+    // Objects are hashes, of which the upper bits count too.
+    let ask = |object: u64| ObjectAsk {
+        pack: true,
+        ..ObjectAsk::new(Some(object.wrapping_mul(0x9e37_79b9_7f4a_7c15)), SECOND, &work)
+    };
+
+    let first = pool.place(now, &ask(7), 1).unwrap();
+    let (server, is_warm, forecast) = (name(&first), first.is_warm(), first.forecast());
+    let later = now + SECOND;
+    first.done(later, answered(500));
+    let again = pool.place(later, &ask(7), 1).unwrap();
+    let other = pool.place(later, &ask(8), 1).unwrap();
+
+    assert!(!is_warm && forecast >= Duration::from_millis(600), "{forecast:?}");
+    assert_eq!((name(&again), name(&other)), (server.clone(), server));
+    assert!(again.is_warm() && !other.is_warm());
+}
+
 /// Guards against losing what was observed of a server when the list changes.
 #[test]
 fn observations_survive_a_change_of_the_list() {
