Let a VM that restarts wait for no VM that starts too

Change: a VM that has read nothing since its restart says so at once, and one that restarts asks each source once and then reads the store. A fleet that starts for the first time still waits, as it has time.

Ruled out: reading everything from the store at each restart, which costs a VM three calls when others could give it.

--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -31,7 +31,7 @@
 /// the store are not worth the longer way.
 const MIN_PEERS: usize = 8;
 
-/// Time for which a starting VM tries to learn from others before it reads the store.
+/// Time for which a VM of a fleet that starts tries to learn from others before it reads the store.
 const LEARN_WAIT: Duration = Duration::from_millis(1500);
 
 /// Pause between two such tries.
@@ -41,7 +41,11 @@
     /// What this VM gives one that holds `feed` up to `version` and needs it up to `min`; `None` when it does not hold
     /// that much within the time that the other waits.
     pub(crate) async fn fetched(self: &Arc<Self>, feed: Feed, version: u64, min: u64) -> Option<Bytes> {
-        // A VM that starts has no versions yet, and its own first read brings them.
+        // After a loss of all VMs the others start too, and waiting for them would only add to the outage. The VMs of a
+        // fleet that starts have time, and wait for the first reads.
+        if self.relay.versions(feed).is_none() && !self.cfg.first_start {
+            return None;
+        }
         let brought = async {
             while self.relay.versions(feed).is_none() {
                 tokio::time::sleep(START_POLL).await;
@@ -154,13 +158,15 @@
             return false;
         }
         let end = Instant::now() + LEARN_WAIT;
-        while Instant::now() < end {
+        loop {
             if self.catch_up(feed, floor, None).await {
                 return true;
             }
+            if !self.cfg.first_start || Instant::now() >= end {
+                return false;
+            }
             tokio::time::sleep(LEARN_PAUSE).await;
         }
-        false
     }
 
     /// Takes in the first read of the list of VMs, which tells whom to learn the rest from.
--- a/crates/mh_gateway/tests/relay.rs
+++ b/crates/mh_gateway/tests/relay.rs
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 use mh_edge::Server;
 use mh_gateway::{
-    Feed, GatewayListen, GatewayNode, GatewaySettings, HeaderNames, Interface, LookupQuery, PromiseSettings, Update,
+    AnnouncedVm, Feed, GatewayListen, GatewayNode, GatewaySettings, HeaderNames, Interface, LookupQuery,
+    PromiseSettings, Update,
 };
 use mh_types::{Code, VmName};
 use store::MemoryStore;
@@ -227,3 +228,28 @@
         assert!(view.iter().all(|server| server.name.as_str() != name), "{view:?}");
     }
 }
+
+/// Guards against a VM that does not serve because the others of its region are listed and gone, as after a loss of all.
+#[tokio::test]
+async fn a_vm_that_starts_among_dead_ones_reads_the_store() {
+    let store = MemoryStore::new();
+    store.put(Feed::Settings, Update::Plan(fixtures::plan(1).into()));
+    store.put(Feed::Servers, fixtures::listed("s1", "v1"));
+    for n in 1..LARGE {
+        let cfg = settings(n);
+        let vm = AnnouncedVm {
+            vm: cfg.vm.clone(),
+            domain: cfg.domain,
+            region: cfg.region,
+            callers: cfg.listen.callers,
+            peers: cfg.listen.peers,
+        };
+        store.put(Feed::Vms, Update::Vm(cfg.vm, Some(vm)));
+    }
+
+    let (node, server) = start_vm(&store, 0).await;
+    std::mem::forget(server);
+
+    eventually(|| node.gateway().live().ready).await;
+    assert_eq!(node.gateway().live().backends[fixtures::SERVICE].pool.slots(), 4);
+}
