Split the largest files of the gateway, one type each

Cause: exchange.rs held three types, world.rs and gateway_node.rs had over 400 lines. InUse and Verdict have files of their own, World::live is in world/live.rs, the membership's settings in node/membership.rs. Code is moved and one type renamed; the crate's tests pass.

With the check of suspect servers taken out of Connections::take on a scratch copy, a_server_that_sent_a_stray_answer fails as it should, and no other test of troubled_servers.rs does.

--- a/crates/mh_gateway/src/control/world.rs
+++ b/crates/mh_gateway/src/control/world.rs
@@ -1,18 +1,17 @@
+mod live;
 mod snapshot;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use mh_route::ServerSpec;
-use mh_route::objects::{Listed, Places, WorkTimes};
 use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
 use tokio::time::Instant;
 
 use super::known_server::KnownServer;
 use super::made_of::MadeOf;
 use super::shift_controller::ShiftController;
-use crate::{AnnouncedVm, Batch, Bounds, Feed, Live, Plan, RegisteredServer, ShiftOrder, ShiftRecord, Update};
+use crate::{AnnouncedVm, Batch, Bounds, Feed, Plan, RegisteredServer, ShiftOrder, ShiftRecord, Update};
 
 /// What this VM believes about the deployment, from the source.
 #[derive(Debug)]
@@ -151,111 +150,6 @@
         });
     }
 
-    /// The state for requests. `vms` are the VMs that share limits; `previous` keeps connections and observations.
-    pub fn live(&mut self, previous: &Live, vms: u32, now: Instant) -> Live {
-        let Some(plan) = self.plan.clone() else {
-            return Live::default();
-        };
-        let places = self.places();
-        let mut listed = self.listed(now);
-        let mut built = HashMap::new();
-        for service in plan.services.values() {
-            let made_of = MadeOf {
-                service: service.clone(),
-                servers: listed.remove(&service.name).unwrap_or_default(),
-                places: places.clone(),
-                bounds: self.bounds,
-                vms,
-            };
-            let kept = previous.backends.get(&service.name);
-            let same = self.built.remove(&service.name).filter(|held| *held == made_of);
-            let backends = match (same, kept) {
-                (Some(_), Some(kept)) => Arc::clone(kept),
-                _ => Arc::new(made_of.build(kept.map(Arc::as_ref), now)),
-            };
-            built.insert(service.name.clone(), (made_of, backends));
-        }
-        let backends = built
-            .iter()
-            .map(|(name, (_, backends))| (name.clone(), Arc::clone(backends)));
-        let backends = backends.collect();
-        self.built = built.into_iter().map(|(name, (made_of, _))| (name, made_of)).collect();
-        let work = plan.routes().map(|route| {
-            let kept = previous.work.get(&route.name).map(Arc::clone);
-            let times = kept.unwrap_or_else(|| Arc::new(WorkTimes::new(route.latency_target)));
-            (route.name.clone(), times)
-        });
-        let work = work.collect();
-        let is_known = Feed::ALL.iter().all(|feed| self.read.contains(feed));
-        Live {
-            backends,
-            work,
-            quotas: previous.quotas.clone(),
-            shifts: self.shift_controller.active(&self.orders, &self.records),
-            vms: previous.vms.clone(),
-            ready: is_known,
-            plan: Some(plan),
-        }
-    }
-
-    fn places(&self) -> Places {
-        let mut vms: BTreeMap<RegionName, u32> = BTreeMap::new();
-        for vm in self.vms.values() {
-            *vms.entry(vm.region.clone()).or_default() += 1;
-        }
-        Places {
-            home: Some(self.home.clone()),
-            vms,
-        }
-    }
-
-    fn listed(&self, now: Instant) -> HashMap<ServiceName, Vec<Listed>> {
-        let mut out: HashMap<ServiceName, Vec<Listed>> = HashMap::new();
-        for (name, server) in &self.servers {
-            let entry = &server.entry;
-            let Some(region) = self.regions.get(&entry.domain) else {
-                continue;
-            };
-            if !self.is_version_open(server, now) {
-                continue;
-            }
-            out.entry(entry.service.clone()).or_default().push(Listed {
-                spec: ServerSpec {
-                    name: name.clone(),
-                    addr: entry.addr,
-                    domain: entry.domain.clone(),
-                    region: region.clone(),
-                    version: entry.version.clone(),
-                    slots: entry.slots,
-                    connections: 0,
-                },
-                run: entry.run,
-                leaving: entry.leaving || self.drained.contains(&entry.domain),
-                cold_until: server.cold_until.filter(|until| *until > now),
-            });
-        }
-        out
-    }
-
-    /// Whether servers of this version may be used. A version that is new to its service waits for its order; without
-    /// one it is used once the settings were told for a while, or when no other version is left.
-    fn is_version_open(&self, server: &KnownServer, now: Instant) -> bool {
-        let entry = &server.entry;
-        let order = self.orders.get(&entry.service);
-        let is_ordered = order.is_some_and(|order| order.to == entry.version);
-        let is_told = !self.lost.contains(&Feed::Settings) && now >= server.version_open_at;
-        let others_serve = || {
-            let servers = self
-                .servers
-                .values()
-                .filter(|other| other.entry.service == entry.service);
-            servers
-                .filter(|other| other.entry.version != entry.version)
-                .any(|other| !other.entry.leaving && other.is_established)
-        };
-        server.is_established || is_ordered || is_told || !others_serve()
-    }
-
     /// Removes what a whole read of `feed` does not name.
     fn drop_missing(&mut self, feed: Feed, batch: &Batch, now: Instant) {
         match feed {
--- a/crates/mh_gateway/src/node.rs
+++ b/crates/mh_gateway/src/node.rs
@@ -1,4 +1,5 @@
 mod gateway_node;
+mod membership;
 mod metrics;
 mod ports;
 mod shutdown;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -7,20 +7,21 @@
 use mh_admin::Metrics;
 use mh_budget::{Answer, Me, Msg, Outgoing};
 use mh_edge::Server;
-use mh_member::{Config, List, Members, Outbox};
+use mh_member::{List, Members, Outbox};
 use mh_platform::BoxFuture;
 use mh_types::{Code, Event, Incarnation, OrgName, RegionName, ServiceName, VmName, emit};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
+use super::membership::members;
 use super::ports;
 use super::supervise::supervise;
 use crate::control::{Datagram, QuotaController, Relay, StaleVms, World, encode, follow, run_members};
 use crate::request::Timings;
 use crate::{
-    AnnouncedVm, Bounds, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase,
-    ShiftRecord, Source, Update,
+    AnnouncedVm, Feed, Gateway, GatewaySettings, HeaderNames, Interface, Live, QuotaPeers, ShiftPhase, ShiftRecord,
+    Source, Update,
 };
 
 /// Time between two tries to write one step of a shift.
@@ -385,18 +386,3 @@
         let _ = self.epoch.subscribe().wait_for(|epoch| *epoch != seen).await;
     }
 }
-
-/// The membership protocol, fast enough that a VM that stopped is not named beyond the deployment's bound.
-fn members(cfg: &GatewaySettings, bounds: &Bounds, incarnation: Incarnation) -> Members {
-    let usual = Config::default();
-    let config = Config {
-        addr: Some(cfg.listen.peers),
-        probe_interval: usual.probe_interval.min(bounds.vm_loss / 6),
-        indirect_timeout: usual.indirect_timeout.min(bounds.vm_loss / 8),
-        suspicion: usual.suspicion.min(bounds.vm_loss / 4),
-        domain_silence: usual.domain_silence.min(bounds.vm_loss / 2),
-        ..usual
-    };
-    let (domain, region) = (cfg.domain.clone(), cfg.region.clone());
-    Members::new(cfg.vm.clone(), incarnation, domain, region, Instant::now(), config)
-}
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -8,8 +8,10 @@
 mod gateway;
 mod held_answer;
 mod hold_budget;
+mod in_use;
 mod outgoing;
 mod timings;
+mod verdict;
 
 pub use counters::Counters;
 pub(crate) use counters::{add, add_lookup};
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -3,8 +3,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::http::request::Parts;
-use hyper::http::response::Parts as Head;
-use hyper::{HeaderMap, Request, Response, StatusCode, Version};
+use hyper::{Request, Response, Version};
 use mh_edge::{ANY_AGE, AnswerBody, Connection, Upload, strip_hop_by_hop};
 use mh_route::Outcome;
 use mh_route::objects::Placed;
@@ -17,8 +16,10 @@
 use super::body::Body;
 use super::counters::{Counters, add};
 use super::cx::Cx;
-use super::held_answer::{HeldBody, ReadFault, keep_for, read};
+use super::held_answer::{HeldBody, ReadFault, read};
+use super::in_use::InUse;
 use super::outgoing::message;
+use super::verdict::{Verdict, judge};
 
 /// Longest wait for a connection: several round trips between regions, and less than a lost opening packet takes to be
 /// sent again.
@@ -86,11 +87,11 @@
     let (sent, connection) = send(cx, attempt, connection, req, &placed, counters).await;
     match sent {
         Ok((attempt, answer)) => {
-            let connection = Kept {
+            let in_use = InUse {
                 connection,
                 may_keep: body.is_sent_whole(),
             };
-            let answered = receive(cx, attempt, connection, placed, answer, sent_at).await;
+            let answered = receive(cx, attempt, in_use, placed, answer, sent_at).await;
             if let (Ok(_), Some(timings)) = (&answered, counters.timings()) {
                 timings.on_answer(sent_at.elapsed());
             }
@@ -177,57 +178,11 @@
     connection.send(req, cx.answer_by(), head_limit).await
 }
 
-/// A connection whose answer has begun.
-struct Kept {
-    connection: Connection,
-    /// Whether another request may use it after the answer.
-    may_keep: bool,
-}
-
-impl Kept {
-    /// How long the connection may be used again; `None` when it must be closed.
-    fn keep_for(&self, headers: &HeaderMap) -> Option<Duration> {
-        keep_for(headers).filter(|_| self.may_keep)
-    }
-}
-
-/// What the head of an answer says about the request.
-enum Verdict {
-    /// The server did not run it.
-    NotRun(Code, Outcome),
-    /// The answer belongs to no request, or to another one.
-    Stray,
-    /// A success that no backend server gave.
-    Unmarked,
-    /// The answer to this request.
-    Answer,
-}
-
-fn judge(cx: &Cx, head: &Head, reused: bool) -> Verdict {
-    let echoed = head.headers.get(&cx.headers.request_id);
-    let is_moved = head.status == StatusCode::MISDIRECTED_REQUEST;
-    let is_not_run = is_moved || head.headers.contains_key(&cx.headers.not_run);
-    let has_mark = cx
-        .headers
-        .mark
-        .as_ref()
-        .is_none_or(|mark| head.headers.contains_key(mark));
-    match echoed {
-        Some(id) if *id != cx.id_header => Verdict::Stray,
-        // On a connection that was used before, a refusal without an id may be a late one of an earlier request.
-        None if !is_not_run || reused => Verdict::Stray,
-        _ if is_moved => Verdict::NotRun(Code::ServerLeaving, Outcome::Failed),
-        _ if is_not_run => Verdict::NotRun(Code::NoCapacity, Outcome::Shed),
-        _ if head.status.is_success() && !has_mark => Verdict::Unmarked,
-        _ => Verdict::Answer,
-    }
-}
-
 /// Reads the answer and checks that it is this request's.
 async fn receive(
     cx: &Cx,
     attempt: Attempt<Sent>,
-    kept: Kept,
+    in_use: InUse,
     placed: Placed,
     answer: Response<Incoming>,
     sent_at: Instant,
@@ -238,8 +193,8 @@
     if let Some(load) = load.and_then(parse_load) {
         placed.reported(now, load);
     }
-    let keep = kept.keep_for(&head.headers);
-    let connection = kept.connection;
+    let keep = in_use.keep_for(&head.headers);
+    let connection = in_use.connection;
     match judge(cx, &head, connection.reused) {
         Verdict::Answer => {}
         Verdict::Stray => {
