Log the limits that servers state

Callers and servers see no change. The logs could not tell a VM that does not read a server's limit from one that keeps to it by itself, since no line said that a limit had been stated.

E306 and E307, the metric limited_servers and the state dump now say which limit a VM knows, since when and from where.

--- a/crates/mh_gateway/src/header_names.rs
+++ b/crates/mh_gateway/src/header_names.rs
@@ -17,6 +17,8 @@
     pub expected_server: HeaderName,
     /// Running requests, waiting requests and slots of a server, separated by commas.
     pub server_load: HeaderName,
+    /// Requests per second that a server in need accepts from all VMs together.
+    pub server_limit: HeaderName,
     /// Present if the server did not run the request.
     pub not_run: HeaderName,
     /// Header that a server sets on every answer; a success without it comes from something else at the server's
@@ -36,6 +38,7 @@
             organisation: HeaderName::from_static("mangohook-organisation"),
             expected_server: HeaderName::from_static("mangohook-expected-server"),
             server_load: HeaderName::from_static("mangohook-server-load"),
+            server_limit: HeaderName::from_static("mangohook-server-limit"),
             not_run: HeaderName::from_static("mangohook-not-run"),
             server_stamp: None,
         }
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -65,6 +65,9 @@
         gauge("running", "Requests running now", |node| {
             node.gateway.counters().running.load(Ordering::Relaxed)
         }),
+        gauge("limited_servers", "Servers whose stated limit is in force", |node| {
+            node.gateway.limits().with(|limits| limits.limited_servers()) as u64
+        }),
         gauge(
             "held_bytes",
             "Memory that bodies of requests and answers hold",
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -58,6 +58,7 @@
         "services": services,
         "shifts": shifts.collect::<Vec<_>>(),
         "quotas": quotas.collect::<Vec<_>>(),
+        "limits": node.gateway.limits().with(|limits| limits.view(now)),
         "servers": servers,
     })
 }
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -3,8 +3,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::http::request::Parts;
-use hyper::{Request, Response, Version};
+use hyper::{HeaderMap, Request, Response, Version};
 use mh_edge::{ANY_IDLE_TIME, Connection, ResponseBody, Upload, strip_hop_by_hop};
+use mh_limit::Stated;
 use mh_route::Outcome;
 use mh_route::objects::Placement;
 use mh_shift::{CanaryFault, CanarySample};
@@ -195,7 +196,11 @@
     }
     let reuse_for = active.reuse_for(&head.headers);
     let connection = active.connection;
-    match classify_answer(cx, &head, connection.reused) {
+    let kind = classify_answer(cx, &head, connection.reused);
+    if let Some(stated) = stated_limit(cx, &kind, &head.headers) {
+        cx.limits.on_answer(&placement, sent_at, stated);
+    }
+    match kind {
         AnswerKind::Valid => {}
         AnswerKind::Mismatched => {
             connection.note_unsolicited_data();
@@ -286,6 +291,19 @@
     })
 }
 
+/// Returns what an answer says about its server's limit; `None` if it comes from something else.
+fn stated_limit(cx: &RequestContext, kind: &AnswerKind, headers: &HeaderMap) -> Option<Stated> {
+    let values = headers.get_all(&cx.headers.server_limit).iter();
+    let stated = Stated::from_values(values.map(|value| value.to_str().ok()));
+    match (kind, stated) {
+        (AnswerKind::Valid, stated) => Some(stated),
+        // A refusal may be written before the server adds its other headers.
+        (AnswerKind::NotRun(Code::NoCapacity, _), Stated::Nothing) => Some(Stated::Unknown),
+        (AnswerKind::NotRun(Code::NoCapacity, _), stated) => Some(stated),
+        _ => None,
+    }
+}
+
 /// Returns the sum of running and waiting requests from `running,waiting,slots`.
 fn parse_load(text: &str) -> Option<u32> {
     let mut parts = text.split(',').map(|part| part.trim().parse::<u32>().ok());
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -19,6 +19,7 @@
 use super::buffer_budget::BufferBudget;
 use super::counters::{Counters, RunningGuard, increment};
 use super::forward::forward;
+use super::limit_gate::LimitGate;
 use super::outgoing::forwarded_head;
 use super::request_context::RequestContext;
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
@@ -47,12 +48,14 @@
     leaving: AtomicBool,
     closed: AtomicBool,
     quota_peers: OnceLock<Arc<dyn QuotaPeers>>,
+    limits: Arc<LimitGate>,
 }
 
 impl Gateway {
     /// Creates a gateway without a plan; it refuses every request until [`Gateway::publish`] is called.
     pub fn new(vm: VmName, headers: HeaderNames, bounds: Bounds) -> Self {
         Self {
+            limits: Arc::new(LimitGate::new(vm.clone())),
             vm,
             headers: Arc::new(headers),
             bounds: ArcSwap::from_pointee(bounds),
@@ -85,6 +88,11 @@
         let _ = self.quota_peers.set(peers);
     }
 
+    /// Returns the limits that servers state.
+    pub fn limits(&self) -> &Arc<LimitGate> {
+        &self.limits
+    }
+
     /// Returns the name of this VM.
     pub fn vm(&self) -> &VmName {
         &self.vm
@@ -316,6 +324,7 @@
             regions,
             max_body_bytes: plan.limits.max_body_bytes,
             buffer_budget: self.buffer_budget.clone(),
+            limits: Arc::clone(&self.limits),
             headers: Arc::clone(&self.headers),
             route,
             org,
--- /dev/null
+++ b/crates/mh_gateway/src/request/limit_gate.rs
@@ -0,0 +1,75 @@
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+
+use mh_limit::{LimitChange, Limits, Stated};
+use mh_route::objects::Placement;
+use mh_types::{Event, VmName, emit};
+use tokio::time::Instant;
+
+use crate::LimitPeers;
+use crate::node::lock;
+
+/// The limits that servers state, as requests and control loops use them.
+///
+/// While no server states a limit, requests read one atomic flag. Otherwise they lock the decision state for the few
+/// steps of one decision.
+#[derive(Debug)]
+pub struct LimitGate {
+    limits: Mutex<Limits>,
+    has_limits: AtomicBool,
+    peers: OnceLock<Arc<dyn LimitPeers>>,
+}
+
+impl LimitGate {
+    pub(crate) fn new(vm: VmName) -> Self {
+        Self {
+            limits: Mutex::new(Limits::new(vm)),
+            has_limits: AtomicBool::new(false),
+            peers: OnceLock::new(),
+        }
+    }
+
+    /// Runs `f` with the decision state.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Limits) -> T) -> T {
+        let mut limits = lock(&self.limits);
+        let out = f(&mut limits);
+        self.has_limits.store(!limits.is_empty(), Ordering::Relaxed);
+        out
+    }
+
+    /// Sets the access to other VMs.
+    pub fn set_peers(&self, peers: Arc<dyn LimitPeers>) {
+        // A second call has no effect.
+        let _ = self.peers.set(peers);
+    }
+
+    /// Records what an answer says about the limit of its server.
+    pub(super) fn on_answer(&self, placement: &Placement, sent_at: Instant, stated: Stated) {
+        let is_plain = matches!(stated, Stated::Nothing | Stated::Unknown);
+        if is_plain && !self.has_limits.load(Ordering::Relaxed) {
+            return;
+        }
+        let server = &placement.spec().name;
+        if let Stated::Invalid(e) = stated {
+            emit!(Event::ServerLimitInvalid, server = server, error = e);
+        }
+        let now = Instant::now();
+        let change = self.with(|limits| limits.on_answer(now, server, placement.run(), sent_at, stated));
+        if let Some(change) = change {
+            log_change(&change, "answer");
+        }
+    }
+}
+
+/// Logs a change of a limit; `source` is where this VM learned it.
+fn log_change(change: &LimitChange, source: &str) {
+    let per_s = |limit: Option<mh_limit::ServerLimit>| limit.map_or_else(|| "none".to_owned(), |l| l.to_string());
+    emit!(
+        Event::ServerLimitChanged,
+        server = change.server,
+        per_s = per_s(change.limit),
+        before = per_s(change.before),
+        change = change.change,
+        source = source
+    );
+}
--- a/crates/mh_gateway/src/request/request_context.rs
+++ b/crates/mh_gateway/src/request/request_context.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::buffer_budget::BufferBudget;
+use super::limit_gate::LimitGate;
 use crate::{ActiveShift, HeaderNames, HostRoute, LiveState, PlanOrg, ServiceBackends};
 
 /// Time past a route's timeout that is allowed for the arrival of the server's own timeout answer.
@@ -37,6 +38,7 @@
     pub(super) max_body_bytes: u64,
     /// Memory budget for buffered answers.
     pub(super) buffer_budget: BufferBudget,
+    pub(super) limits: Arc<LimitGate>,
     pub(super) headers: Arc<HeaderNames>,
 }
 
