Keep to a server's stated limit over all VMs: one VM admits the requests for it

What callers and servers saw: a server that stated a limit got as many requests as before, up to 2.4 times the limit.

Cause: no VM acted on the header. Equal parts don't carry such a limit either: at 68 VMs and more it is less than one request a VM in 4 s.

Change: each limited server has an owner among the live VMs of its failure domain, chosen by rendezvous hashing. The owner holds a token bucket; the others ask it before each request to that server (one datagram each way) and pass the server over for as long as the owner says it is full. The request goes to another server, or is refused at once with the time until the first one has room. Limits spread by gossip, repaired by digests. An owner pools one equal part of the limit for each VM that it sees, starts empty, and waits a second after it became the owner or was paused.

--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -5,6 +5,7 @@
 mod feed_loop;
 mod feed_states;
 mod known_server;
+mod limit_messages;
 mod load_reports;
 mod member_loop;
 mod quota_controller;
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -81,6 +81,22 @@
         /// Whether the request was admitted, and what is left of the share.
         answer: Answer,
     },
+    /// Limits that servers stated.
+    Limits(mh_limit::Msg),
+    /// Asks the receiver to admit one request to a server with a limit.
+    LimitAsk {
+        /// Number of the question, repeated in the reply.
+        number: u64,
+        /// The question.
+        ask: mh_limit::Ask,
+    },
+    /// Answers [`Datagram::LimitAsk`].
+    LimitReply {
+        /// Number of the question that is answered.
+        number: u64,
+        /// The decision.
+        reply: mh_limit::Reply,
+    },
 }
 
 #[cfg(test)]
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -1,12 +1,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mh_limit::LimitVm;
 use mh_member::{MemberState, VmList, VmListEntry};
 use mh_types::{Event, RegionName, VmName, emit};
 use std::net::SocketAddr;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use super::datagram::decode;
+use super::limit_messages::limit_vm;
 use super::shift_writer::run_shifts;
 use super::stale_vms::update_vm_list;
 use super::{Datagram, QuotaController};
@@ -46,6 +48,7 @@
                 let stalled = Some(now - last_tick).filter(|gap| *gap >= QuotaController::pause_limit());
                 if let Some(time) = suspended.or(stalled) {
                     emit!(Event::Suspended, for_ms = time.as_millis());
+                    node.gateway.limits().with(|limits| limits.on_pause(now));
                     node.start_epoch();
                 }
                 last_tick = now;
@@ -81,6 +84,9 @@
             }
         }
         Datagram::Taken { number, answer } => node.on_token_response(number, answer),
+        Datagram::Limits(msg) => node.on_limit_msg(from, msg),
+        Datagram::LimitAsk { number, ask } => node.on_limit_ask(from, number, &ask, now),
+        Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
     }
 }
 
@@ -95,6 +101,7 @@
     node.send_membership(out);
     let out = lock(&node.quotas).on_tick(now);
     node.send_lending(out);
+    node.tick_limits(now);
 }
 
 /// Passes the VM list to the membership protocol and applies its view; returns the live VMs and the number of VMs that
@@ -126,8 +133,12 @@
     let is_usable = |vm: &VmName| matches!(view.state(vm), Some(MemberState::Alive)) && !node.is_this_vm_leaving(vm);
     let mut alive: Vec<VmName> = Vec::new();
     let mut callers: Vec<(RegionName, SocketAddr)> = Vec::new();
+    let mut admitting: Vec<LimitVm> = vec![node.limit_vm()];
     for vm in deployment.vms().filter(|vm| is_usable(&vm.vm)) {
         alive.push(vm.vm.clone());
+        if vm.vm != node.cfg.vm {
+            admitting.push(limit_vm(vm));
+        }
         callers.push((vm.region.clone(), vm.callers));
     }
     let is_region_peer = |vm: &AnnouncedVm| vm.region == node.cfg.region && vm.vm != node.cfg.vm;
@@ -146,6 +157,10 @@
         callers.push((own.region, own.callers));
     }
     let listed = deployment.vms().count().max(1);
+    if deployment.has_read(Feed::Vms) {
+        let limits = node.gateway.limits();
+        limits.with(|limits| limits.set_vms(now, &admitting, listed));
+    }
     drop(membership);
     drop(deployment);
     let mut stale = lock(&node.stale_vms);
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -7,14 +7,16 @@
 use mh_admin::Metrics;
 use mh_budget::{Answer, Msg, Outgoing, VmIdentity};
 use mh_edge::CallerPort;
+use mh_limit::{Ask, Reply};
 use mh_member::{Membership, Outbox, VmList};
 use mh_platform::BoxFuture;
 use mh_types::{Code, Event, Incarnation, OrgName, RegionName, ServiceName, VmName, emit};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::membership::new_membership;
+use super::pending_replies::PendingReplies;
 use super::ports;
 use super::supervise::supervise;
 use crate::control::{
@@ -22,7 +24,7 @@
 };
 use crate::request::Timings;
 use crate::{
-    AnnouncedVm, Feed, Gateway, GatewaySettings, HeaderNames, Interface, LiveState, QuotaPeers, ShiftPhase,
+    AnnouncedVm, Feed, Gateway, GatewaySettings, HeaderNames, Interface, LimitPeers, LiveState, QuotaPeers, ShiftPhase,
     ShiftRecord, Source, Update,
 };
 
@@ -54,8 +56,8 @@
     pub(crate) membership: Mutex<Membership>,
     pub(crate) quotas: Mutex<QuotaController>,
     pub(crate) relay: Relay,
-    pending_token_requests: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
-    next_token_request_number: AtomicU64,
+    pending_token_requests: PendingReplies<Answer>,
+    pub(crate) pending_limit_asks: PendingReplies<Reply>,
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
     pub(crate) stale_vms: Mutex<StaleVms>,
@@ -83,6 +85,16 @@
     }
 }
 
+/// Asks other VMs to admit requests through the node's socket.
+#[derive(Debug)]
+struct NodeLimitPeers(Weak<GatewayNode>);
+
+impl LimitPeers for NodeLimitPeers {
+    fn ask<'a>(&'a self, vm: &'a VmName, ask: &'a Ask) -> BoxFuture<'a, Option<Reply>> {
+        Box::pin(async move { self.0.upgrade()?.ask_limit(vm, ask).await })
+    }
+}
+
 impl GatewayNode {
     /// Binds the ports and starts the control loops.
     ///
@@ -128,8 +140,8 @@
             membership: Mutex::new(new_membership(&cfg, &bounds, incarnation)),
             quotas: Mutex::new(QuotaController::new(identity, Instant::now())),
             relay: Relay::new(cfg.vm.clone(), bounds.settings_in_force, Instant::now()),
-            pending_token_requests: Mutex::default(),
-            next_token_request_number: AtomicU64::new(0),
+            pending_token_requests: PendingReplies::default(),
+            pending_limit_asks: PendingReplies::default(),
             socket: peers,
             metrics: OnceLock::new(),
             stale_vms: Mutex::default(),
@@ -143,6 +155,8 @@
         });
         node.gateway
             .set_quota_peers(Arc::new(NodeQuotaPeers(Arc::downgrade(&node))));
+        let limit_peers = NodeLimitPeers(Arc::downgrade(&node));
+        node.gateway.limits().set_peers(Arc::new(limit_peers));
         let metrics = super::metrics::new_metrics(&node).map_err(|e| (Code::Internal, e.to_string()))?;
         node.gateway.counters().set_timings(Timings::new(&metrics));
         let _ = node.metrics.set(metrics);
@@ -240,22 +254,22 @@
     /// Requests one token of a quota from another VM's share; `None` after [`TOKEN_REQUEST_TIMEOUT`].
     async fn ask_quota(&self, vm: &VmName, org: &OrgName) -> Option<Answer> {
         let addr = self.peer_addr(vm)?;
-        let number = self.next_token_request_number.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        lock(&self.pending_token_requests).insert(number, tx);
         let org = org.clone();
-        self.send_to(addr, &Datagram::Take { number, org });
-        let answer = tokio::time::timeout(TOKEN_REQUEST_TIMEOUT, rx).await;
-        lock(&self.pending_token_requests).remove(&number);
-        answer.ok()?.ok()
+        let send = |number| self.send_to(addr, &Datagram::Take { number, org });
+        self.pending_token_requests.exchange(send, TOKEN_REQUEST_TIMEOUT).await
+    }
+
+    /// Asks another VM to admit a request to a server with a limit; `None` after [`TOKEN_REQUEST_TIMEOUT`].
+    async fn ask_limit(&self, vm: &VmName, ask: &Ask) -> Option<Reply> {
+        let addr = self.peer_addr(vm)?;
+        let ask = ask.clone();
+        let send = |number| self.send_to(addr, &Datagram::LimitAsk { number, ask });
+        self.pending_limit_asks.exchange(send, TOKEN_REQUEST_TIMEOUT).await
     }
 
     /// Passes the token response of another VM to the request that waits for it.
     pub(crate) fn on_token_response(&self, number: u64, answer: Answer) {
-        if let Some(tx) = lock(&self.pending_token_requests).remove(&number) {
-            // The request may have ended already.
-            let _ = tx.send(answer);
-        }
+        self.pending_token_requests.complete(number, answer);
     }
 
     /// Returns whether this VM accepts callers.
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -51,6 +51,11 @@
             |c| &c.failed,
         ),
         counter("retries", "Requests sent to a second server", |c| &c.retries),
+        counter(
+            "full",
+            "Requests that a server did not admit because of the limit that it stated",
+            |c| &c.full,
+        ),
         counter("connects", "Connections made to backend servers", |c| &c.connects),
         counter("lookups", "Look-ups answered", |c| &c.lookups),
         counter("store_reads", "Calls for changes that the store answered", |c| {
--- a/crates/mh_gateway/src/request/counters.rs
+++ b/crates/mh_gateway/src/request/counters.rs
@@ -16,6 +16,8 @@
     pub failed: AtomicU64,
     /// Attempts after the first.
     pub retries: AtomicU64,
+    /// Requests that a server did not admit because of the limit that it stated.
+    pub full: AtomicU64,
     /// Connections made to backend servers.
     pub connects: AtomicU64,
     /// Look-ups answered.
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -189,17 +189,10 @@
     sent_at: Instant,
 ) -> Result<ServerAnswer, Failure> {
     let (mut head, body) = answer.into_parts();
-    let now = Instant::now();
-    let load = head.headers.get(&cx.headers.server_load).and_then(|v| v.to_str().ok());
-    if let Some(load) = load.and_then(parse_load) {
-        placement.reported(now, load);
-    }
     let reuse_for = active.reuse_for(&head.headers);
     let connection = active.connection;
     let kind = classify_answer(cx, &head, connection.reused);
-    if let Some(stated) = stated_limit(cx, &kind, &head.headers) {
-        cx.limits.on_answer(&placement, sent_at, stated);
-    }
+    record_reports(cx, &placement, &kind, &head.headers, sent_at);
     match kind {
         AnswerKind::Valid => {}
         AnswerKind::Mismatched => {
@@ -291,15 +284,31 @@
     })
 }
 
+/// Records the load and the limit that a server reports in its answer.
+fn record_reports(
+    cx: &RequestContext,
+    placement: &Placement,
+    kind: &AnswerKind,
+    headers: &HeaderMap,
+    sent_at: Instant,
+) {
+    let load = headers.get(&cx.headers.server_load).and_then(|v| v.to_str().ok());
+    if let Some(load) = load.and_then(parse_load) {
+        placement.reported(Instant::now(), load);
+    }
+    if let Some(stated) = stated_limit(cx, kind, headers) {
+        cx.limits.on_answer(placement, sent_at, stated);
+    }
+}
+
 /// Returns what an answer says about its server's limit; `None` if it comes from something else.
 fn stated_limit(cx: &RequestContext, kind: &AnswerKind, headers: &HeaderMap) -> Option<Stated> {
     let values = headers.get_all(&cx.headers.server_limit).iter();
     let stated = Stated::from_values(values.map(|value| value.to_str().ok()));
     match (kind, stated) {
-        (AnswerKind::Valid, stated) => Some(stated),
         // A refusal may be written before the server adds its other headers.
         (AnswerKind::NotRun(Code::NoCapacity, _), Stated::Nothing) => Some(Stated::Unknown),
-        (AnswerKind::NotRun(Code::NoCapacity, _), stated) => Some(stated),
+        (AnswerKind::NotRun(Code::NoCapacity, _) | AnswerKind::Valid, stated) => Some(stated),
         _ => None,
     }
 }
--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use arc_swap::ArcSwap;
 use hyper::Response;
 use hyper::http::request::Parts;
@@ -16,11 +18,17 @@
 /// Unreachable servers that may be tried per request; each takes up to the connect timeout.
 const MAX_UNREACHABLE_SERVERS: usize = 3;
 
+/// Servers per request that may turn out to be full by a limit that they stated; each may take a round trip to another
+/// VM.
+const MAX_FULL_SERVERS: usize = 8;
+
 /// Results of the earlier attempts at one request.
 #[derive(Default)]
 struct AttemptHistory {
     /// Servers that were chosen, including those that could not be reached.
     tried: SmallVec<[ServerName; 4]>,
+    /// Servers whose stated limit is used up.
+    full: SmallVec<[ServerName; 4]>,
     /// Number of servers that the request was sent to.
     sent: u32,
     /// Whether any attempt may have run, so that the request can no longer end as not run.
@@ -54,6 +62,15 @@
                 return history.finish(cx, placement_error);
             }
         };
+        if let Err(left) = cx.limits.admit(&placement).await {
+            increment(&counters.full);
+            history.on_full(cx, placement, left);
+            if history.full.len() >= MAX_FULL_SERVERS {
+                history.last = history.last.or(Some(Code::NoCapacity));
+                return history.finish(cx, Some(PlacementError::NoCapacity { retry_after: left }));
+            }
+            continue;
+        }
         if history.sent > 0 {
             increment(&counters.retries);
         }
@@ -103,12 +120,13 @@
     if left.is_zero() {
         return Err(None);
     }
+    let excluded: SmallVec<[ServerName; 8]> = history.tried.iter().chain(&history.full).cloned().collect();
     let object_request = ObjectRequest {
         object: cx.object,
         remaining: left,
         regions: &cx.regions,
         versions: VersionFilter::Any,
-        exclude: &history.tried,
+        exclude: &excluded,
         pack: false,
         work_times: &cx.work_times,
     };
@@ -147,6 +165,19 @@
 }
 
 impl AttemptHistory {
+    /// Records that the limit of the chosen server admits no request for the time `left`.
+    fn on_full(&mut self, cx: &RequestContext, placement: Placement, left: Duration) {
+        emit!(
+            Event::ServerFull,
+            request = cx.id,
+            server = placement.spec().name,
+            room_in_ms = left.as_millis(),
+            after_ms = cx.elapsed_ms()
+        );
+        self.full.push(placement.spec().name.clone());
+        placement.full(Instant::now(), left);
+    }
+
     /// Returns the final result when no more servers are tried.
     fn finish(
         self,
--- a/crates/mh_gateway/src/request/limit_gate.rs
+++ b/crates/mh_gateway/src/request/limit_gate.rs
@@ -1,14 +1,19 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 
-use mh_limit::{LimitChange, Limits, Stated};
+use std::time::Duration;
+
+use mh_limit::{Admission, Ask, LimitChange, Limits, Outbox, Stated, Target};
 use mh_route::objects::Placement;
-use mh_types::{Event, VmName, emit};
+use mh_types::{Event, ServerName, VmName, emit};
 use tokio::time::Instant;
 
 use crate::LimitPeers;
 use crate::node::lock;
 
+/// Longest time between a question and the use of its answer. After it, the owner of the limit counts on other requests.
+const ADMISSION_LIFETIME: Duration = Duration::from_millis(500);
+
 /// The limits that servers state, as requests and control loops use them.
 ///
 /// While no server states a limit, requests read one atomic flag. Otherwise they lock the decision state for the few
@@ -43,6 +48,53 @@
         let _ = self.peers.set(peers);
     }
 
+    /// Decides whether a request may be sent to the server of `placement`.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the server may admit a request.
+    pub(super) async fn admit(&self, placement: &Placement) -> Result<(), Duration> {
+        if !self.has_limits.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        let spec = placement.spec();
+        let target = Target {
+            server: spec.name.clone(),
+            run: placement.run(),
+            domain: spec.domain.clone(),
+            region: spec.region.clone(),
+        };
+        let asked_at = Instant::now();
+        let mut admission = self.with(|limits| limits.admit(asked_at, &target));
+        if let Admission::Ask(owner, ask) = &admission {
+            admission = self.ask(owner, ask).await;
+        }
+        match admission {
+            Admission::Admitted if Instant::now() <= asked_at + ADMISSION_LIFETIME => Ok(()),
+            Admission::Full(left) => Err(left),
+            // The admission is outdated.
+            Admission::Admitted | Admission::Ask(..) => Err(Duration::ZERO),
+        }
+    }
+
+    async fn ask(&self, owner: &VmName, ask: &Ask) -> Admission {
+        let reply = match self.peers.get() {
+            Some(peers) => peers.ask(owner, ask).await,
+            None => None,
+        };
+        self.with(|limits| limits.on_reply(Instant::now(), owner, ask, reply.as_ref()))
+    }
+
+    /// Handles a message of another VM and returns the replies.
+    pub(crate) fn on_msg(&self, from: &VmName, msg: mh_limit::Msg, is_listed: impl Fn(&ServerName) -> bool) -> Outbox {
+        let now = Instant::now();
+        let (out, changes) = self.with(|limits| limits.on_msg(now, from, msg, is_listed));
+        for change in &changes {
+            log_change(change, from.as_str());
+        }
+        out
+    }
+
     /// Records what an answer says about the limit of its server.
     pub(super) fn on_answer(&self, placement: &Placement, sent_at: Instant, stated: Stated) {
         let is_plain = matches!(stated, Stated::Nothing | Stated::Unknown);
--- a/crates/mh_gateway/tests/harness/mod.rs
+++ b/crates/mh_gateway/tests/harness/mod.rs
@@ -13,6 +13,7 @@
     Bounds, CallerLimits, DeploymentState, Feed, Gateway, HeaderNames, HostRoute, LiveState, Plan, RegisteredServer,
     RequestKind, Update,
 };
+use mh_limit::LimitVm;
 use mh_types::Revision;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -171,6 +172,12 @@
             now,
         );
         gateway.publish(deployment.build_live_state(&LiveState::default(), 1, now));
+        let own = LimitVm {
+            vm: "vm".into(),
+            domain: "maine-a".into(),
+            region: "maine".into(),
+        };
+        gateway.limits().with(|limits| limits.set_vms(now, &[own], 1));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
         let addr = listener.local_addr().expect("a bound address");
         let handler = Arc::clone(&gateway);
--- a/crates/mh_limit/src/limits.rs
+++ b/crates/mh_limit/src/limits.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Makes this VM wait before it admits requests again, since it was paused and others may admit them meanwhile.
+    pub fn on_pause(&mut self, now: Instant) {
+        if let Some(mut view) = self.views.pop_back() {
+            view.since = now;
+            self.views = VecDeque::from([view]);
+        }
+    }
+
     /// Forgets the limits of servers that `is_listed` rejects.
     pub fn retain_servers(&mut self, is_listed: impl Fn(&ServerName) -> bool) {
         self.entries.retain(|server, _| is_listed(server));
@@ -197,24 +205,20 @@
         Reply { verdict, newer }
     }
 
-    /// Applies the reply of the VM `owner` to a question; `None` if none arrived in time.
-    ///
-    /// # Errors
-    ///
-    /// The time after which the server may admit a request; the request must not be sent there.
-    pub fn on_reply(&mut self, now: Instant, owner: &VmName, ask: &Ask, reply: Option<&Reply>) -> Result<(), Duration> {
+    /// Returns the decision that follows from the reply of the VM `owner` to a question; `None` if none arrived in time.
+    pub fn on_reply(&mut self, now: Instant, owner: &VmName, ask: &Ask, reply: Option<&Reply>) -> Admission {
         let Some(reply) = reply else {
             self.silent.insert(owner.clone(), now + SILENCE);
-            return Err(SILENCE);
+            return Admission::Full(SILENCE);
         };
         self.silent.remove(owner);
         if let Some(newer) = &reply.newer {
             self.learn(newer.clone(), now);
         }
         match reply.verdict {
-            Verdict::Admitted => Ok(()),
-            Verdict::Full(left) => Err(self.set_full(&ask.target, now, left)),
-            Verdict::NotOwner => Err(self.set_full(&ask.target, now, NOT_OWNER_WAIT)),
+            Verdict::Admitted => Admission::Admitted,
+            Verdict::Full(left) => Admission::Full(self.set_full(&ask.target, now, left)),
+            Verdict::NotOwner => Admission::Full(self.set_full(&ask.target, now, NOT_OWNER_WAIT)),
         }
     }
 
@@ -299,10 +303,8 @@
 
     /// Returns the number of servers whose limit is in force.
     pub fn limited_servers(&self) -> usize {
-        self.entries
-            .values()
-            .filter(|entry| entry.statement.limit.is_some())
-            .count()
+        let is_limited = |entry: &&Entry| entry.statement.limit.is_some();
+        self.entries.values().filter(is_limited).count()
     }
 
     fn limited(&self, target: &Target) -> Option<(&Entry, ServerLimit)> {
@@ -328,17 +330,15 @@
             return Verdict::Admitted;
         };
         let pacer = entry.pacer.get_or_insert_with(|| Pacer::new(now));
-        pacer
-            .try_take(now, rate)
-            .map_or_else(Verdict::Full, |()| Verdict::Admitted)
+        let taken = pacer.try_take(now, rate);
+        taken.map_or_else(Verdict::Full, |()| Verdict::Admitted)
     }
 
     /// Makes this VM wait before it admits requests again if it was paused.
     fn resettle_after_pause(&mut self, now: Instant) {
         let is_paused = self.last_tick.is_some_and(|at| now > at + PAUSE_LIMIT);
-        if is_paused && let Some(mut view) = self.views.pop_back() {
-            view.since = now;
-            self.views = VecDeque::from([view]);
+        if is_paused {
+            self.on_pause(now);
             self.last_tick = Some(now);
         }
     }
--- a/crates/mh_limit/src/pacer.rs
+++ b/crates/mh_limit/src/pacer.rs
@@ -5,6 +5,9 @@
 /// Time of unused rate that may be saved for later requests.
 const SAVED_S: f64 = 0.25;
 
+/// Requests that may be saved in any case, so that two that arrive together are both admitted.
+const SAVED_REQUESTS: f64 = 2.0;
+
 /// Token bucket of one server's limit, on the VM that admits requests for it.
 #[derive(Debug)]
 pub(crate) struct Pacer {
@@ -28,7 +31,7 @@
     /// The time until the next request is admitted.
     pub(crate) fn try_take(&mut self, now: Instant, rate: f64) -> Result<(), Duration> {
         let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * rate).min(1.0 + rate * SAVED_S);
+        self.tokens = (self.tokens + elapsed * rate).min(SAVED_REQUESTS + rate * SAVED_S);
         self.filled_at = self.filled_at.max(now);
         if self.tokens < 1.0 {
             return Err(Duration::from_secs_f64((1.0 - self.tokens) / rate));
--- a/crates/mh_route/src/objects/placement.rs
+++ b/crates/mh_route/src/objects/placement.rs
@@ -61,6 +61,11 @@
         self.stats.on_direct_report(self.clock.micros(now), load);
     }
 
+    /// Gives the server back because a limit that it stated admits no request for the time `left`.
+    pub fn full(self, now: Instant, left: Duration) {
+        self.stats.set_full(self.clock.micros(now) + micros(left));
+    }
+
     /// Records the outcome of the request and releases its slot.
     pub fn done(self, now: Instant, outcome: Outcome) {
         let at = self.clock.micros(now);
--- a/crates/mh_route/src/objects/placement_error.rs
+++ b/crates/mh_route/src/objects/placement_error.rs
@@ -7,7 +7,7 @@
 pub enum PlacementError {
     /// No server of the service may be used.
     Unavailable,
-    /// Every server would answer too late or is cold and at its rate limit.
+    /// Every server would answer too late, is cold and at its rate limit, or has used up the limit that it stated.
     NoCapacity {
         /// Time until capacity is expected, estimated from the queues of the servers.
         retry_after: Duration,
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -160,18 +160,16 @@
             }
         }
         let chosen = best.filter(|best| self.servers[best.index].stats.cold_limiter.acquire(at, self.cold_gap));
-        match (chosen, earliest_late_finish_us) {
-            (Some(forecast), _) => Ok(self.placement(&forecast, request, at)),
-            (None, None) if !self.has_cold_server(request, at) => Err(PlacementError::Unavailable),
-            (None, earliest_late_finish_us) => {
-                let excess = earliest_late_finish_us
-                    .unwrap_or(0)
-                    .saturating_sub(micros(request.remaining));
-                Err(PlacementError::NoCapacity {
-                    retry_after: Duration::from_micros(excess).max(MIN_RETRY_AFTER),
-                })
-            }
+        if let Some(forecast) = chosen {
+            return Ok(self.placement(&forecast, request, at));
         }
+        let excess_us = earliest_late_finish_us.map(|finish| finish.saturating_sub(micros(request.remaining)));
+        let cold_us = self.has_cold_server(request, at).then_some(0);
+        let waits = [excess_us, cold_us, self.earliest_room_us(request, at)];
+        let earliest = waits.into_iter().flatten().min().ok_or(PlacementError::Unavailable)?;
+        Err(PlacementError::NoCapacity {
+            retry_after: Duration::from_micros(earliest).max(MIN_RETRY_AFTER),
+        })
     }
 
     fn placement(&self, forecast: &Forecast, request: &ObjectRequest<'_>, at: Micros) -> Placement {
@@ -208,7 +206,9 @@
                 first = Some((score, index));
             }
             let is_tried = request.exclude.contains(&server.spec.name);
-            if !is_tried && server.stats.accepts_requests(at) && server.stats.cold_limiter.allows_request(at) {
+            let stats = &server.stats;
+            let is_open = stats.accepts_requests(at) && stats.cold_limiter.allows_request(at);
+            if !is_tried && is_open && stats.full_for(at) == 0 {
                 out.push(Candidate {
                     index,
                     weight,
@@ -239,6 +239,18 @@
             .any(|server| server.stats.cold_limiter.is_cold(at))
     }
 
+    /// Time until the first server whose own limit is used up admits a request; `None` without such a server.
+    fn earliest_room_us(&self, request: &ObjectRequest<'_>, at: Micros) -> Option<Micros> {
+        let may_serve =
+            |server: &&Server| !server.leaving && allows(server, request) && server.stats.accepts_requests(at);
+        let waits = self
+            .servers
+            .iter()
+            .filter(may_serve)
+            .map(|server| server.stats.full_for(at));
+        waits.filter(|wait| *wait > 0).min()
+    }
+
     fn forecast(&self, candidate: Candidate, object: u64, request: &ObjectRequest<'_>, at: Micros) -> Forecast {
         let Candidate {
             index,
@@ -294,6 +306,11 @@
         index.is_some()
     }
 
+    /// Whether the pool has a server of this name.
+    pub fn contains(&self, name: &ServerName) -> bool {
+        self.index_by_name.contains_key(name)
+    }
+
     /// Whether the pool has no servers.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
--- a/crates/mh_route/src/objects/server_stats.rs
+++ b/crates/mh_route/src/objects/server_stats.rs
@@ -54,6 +54,8 @@
     pub(crate) recent_objects: RecentObjects,
     failures: AtomicU32,
     blocked_until: AtomicU64,
+    /// Time until which a limit that the server stated is used up.
+    full_until: AtomicU64,
     others: AtomicF64,
     error_rate: AtomicF64,
     slowness: AtomicF64,
@@ -71,6 +73,7 @@
             recent_objects: RecentObjects::new(),
             failures: AtomicU32::new(0),
             blocked_until: AtomicU64::new(0),
+            full_until: AtomicU64::new(0),
             others: AtomicF64::new(0.0),
             error_rate: AtomicF64::new(0.0),
             slowness: AtomicF64::new(1.0),
@@ -92,6 +95,16 @@
         self.blocked_until.fetch_max(now + wait, Ordering::Relaxed);
     }
 
+    /// Records that the server accepts no request until `until`, by a limit that it stated.
+    pub(crate) fn set_full(&self, until: Micros) {
+        self.full_until.store(until, Ordering::Relaxed);
+    }
+
+    /// Time until the server's own limit admits a request; zero if it does so now.
+    pub(crate) fn full_for(&self, now: Micros) -> Micros {
+        self.full_until.load(Ordering::Relaxed).saturating_sub(now)
+    }
+
     /// Records a response with its measured and expected work time, in microseconds.
     pub(crate) fn on_answer(&self, now: Micros, is_error: bool, observed_us: f64, expected_us: f64) {
         self.failures.store(0, Ordering::Relaxed);
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -52,6 +52,7 @@
     LinesDropped = 207, Warn, "Log lines were left out to keep within the limit.";
     QuotaRefused = 208, Info, "A request was refused because its organisation's quota was used up.";
     RequestTurnedAway = 209, Info, "A request was refused as not run.";
+    ServerFull = 210, Info, "A request was not sent to a backend server because the limit that it stated is used up.";
     ServerFailed = 300, Warn, "A backend server failed a request.";
     ServerLeaving = 301, Info, "A backend server is leaving.";
     ServerReturned = 302, Info, "A backend server takes requests again.";
