--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,7 +3,7 @@
 //! Each seed starts VM processes, servers and a stand-in for the store, and injects overlapping faults into links,
 //! processes, servers and the store. Throughout, the test checks that callers get complete answers to their own
 //! requests, that no request runs twice or after it was refused, that servers see the right organisation and no key,
-//! that quotas hold, that settings never revert to an older version, that planned stops abort no request, and that
+//! that quotas and the limits of servers hold, that settings never revert to an older version, that planned stops abort no request, and that
 //! every VM serves again at the end.
 //!
 //! `SOAK_SEEDS=100..150 SOAK_ROUNDS=2 cargo test --test soak` runs other seeds, three at a time. The test
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -158,6 +158,7 @@
             Step::ServerLink(server, link) => self.servers[server].proxy.set_link(link),
             Step::ServerOpenConnections(server, open) => self.servers[server].proxy.set_open_connections(open),
             Step::SetBehaviour(server, behaviour) => self.servers[server].set_behaviour(behaviour),
+            Step::SetLimit(server, limit) => self.servers[server].set_limit(limit),
             Step::CrashServer(server) => self.servers[server].crash(),
             Step::MarkLeaving(server) => self.register(&self.servers[server], true),
             Step::ReplaceServer(server) => {
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -13,6 +13,15 @@
 /// Number of requests in a window that may exceed the quota in addition.
 const QUOTA_SLACK_REQUESTS: f64 = 20.0;
 
+/// Window in which the requests to a server with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time after which a stated limit binds.
+const LIMIT_STABLE: Duration = Duration::from_secs(3);
+/// Factor by which the requests in a window may exceed the limit.
+const LIMIT_FACTOR: f64 = 1.5;
+/// Number of requests in a window that may exceed the limit in addition.
+const LIMIT_SLACK_REQUESTS: f64 = 5.0;
+
 /// Ledger of the requests that callers sent and servers ran, and of the violations found.
 #[derive(Clone, Default)]
 pub struct Ledger(Arc<Mutex<State>>);
@@ -28,6 +37,10 @@
     /// Requests whose connection closed without an answer while there were no unplanned faults.
     disconnected: HashSet<String>,
     violations: Vec<String>,
+    /// Times at which requests arrived at each server.
+    arrivals: HashMap<String, Vec<Instant>>,
+    /// Limits that each server stated, with the times from which on it did.
+    limits: HashMap<String, Vec<(Instant, Option<f64>)>>,
 }
 
 /// A request as its caller sent it.
@@ -89,6 +102,21 @@
         });
     }
 
+    /// Records that a request arrived at a server, whether it runs or not.
+    pub fn record_arrival(&self, server: &str) {
+        let now = Instant::now();
+        self.with_state(|state| state.arrivals.entry(server.to_owned()).or_default().push(now));
+    }
+
+    /// Records that a server states a limit from now on, or none. A text that is not a limit limits nothing.
+    pub fn record_limit(&self, server: &str, limit: Option<&str>) {
+        let now = Instant::now();
+        let per_s = limit
+            .and_then(|text| text.parse().ok())
+            .filter(|per_s: &f64| per_s.is_finite() && *per_s >= 0.0);
+        self.with_state(|state| state.limits.entry(server.to_owned()).or_default().push((now, per_s)));
+    }
+
     /// Records an answer that states that the request has not run.
     pub fn record_refusal(&self, sent: &SentRequest, status: u16) {
         self.with_state(|state| {
@@ -151,11 +179,40 @@
                     "{peak} requests of {org} ran in one window; the limit is {max_requests}"
                 ));
             }
+            for (server, stated) in &state.limits {
+                let arrivals = state.arrivals.get(server).map_or(&[][..], Vec::as_slice);
+                out.extend(limit_violations(server, stated, arrivals));
+            }
             out
         })
     }
 }
 
+/// Windows in which a server got more requests than its limit allows. All VMs count, also those that have just started.
+fn limit_violations(server: &str, stated: &[(Instant, Option<f64>)], arrivals: &[Instant]) -> Vec<String> {
+    let mut out = Vec::new();
+    for (index, (since, limit)) in stated.iter().enumerate() {
+        let Some(limit) = limit else { continue };
+        let until = stated.get(index + 1).map_or_else(Instant::now, |(at, _)| *at);
+        let bound = (LIMIT_FACTOR * limit * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK_REQUESTS) as usize;
+        let counted = |at: &&Instant| **at >= *since + LIMIT_STABLE && **at < until;
+        let counted: Vec<Instant> = arrivals.iter().filter(counted).copied().collect();
+        let in_window = |from: &Instant| {
+            counted
+                .iter()
+                .filter(|at| **at >= *from && **at < *from + LIMIT_WINDOW)
+                .count()
+        };
+        let peak = counted.iter().map(in_window).max().unwrap_or_default();
+        if peak > bound {
+            out.push(format!(
+                "{server} stated a limit of {limit}/s and got {peak} requests in one window; {bound} are allowed"
+            ));
+        }
+    }
+    out
+}
+
 /// Body of a server's answer; long enough to arrive in several pieces.
 pub fn answer_body(id: &str) -> String {
     format!("{id};").repeat(200)
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rand::RngExt;
@@ -15,7 +16,7 @@
 use tokio::task::JoinHandle;
 
 use super::ledger::{Ledger, ReceivedRequest, answer_body};
-use super::operator::{EXPECTED_SERVER, KEY, NOT_RUN, ORGANISATION, REQUEST_ID, STAMP};
+use super::operator::{EXPECTED_SERVER, KEY, NOT_RUN, ORGANISATION, REQUEST_ID, SERVER_LIMIT, STAMP};
 use super::proxy::Proxy;
 
 /// Longest time for which a healthy server works on a request.
@@ -47,6 +48,9 @@
     pub number: u64,
     pub proxy: Proxy,
     behaviour: Arc<Mutex<Behaviour>>,
+    /// Text of the limit that the server states.
+    limit: Arc<Mutex<Option<&'static str>>>,
+    ledger: Ledger,
     accept_task: JoinHandle<()>,
 }
 
@@ -54,6 +58,7 @@
     name: String,
     ledger: Ledger,
     behaviour: Arc<Mutex<Behaviour>>,
+    limit: Arc<Mutex<Option<&'static str>>>,
     running: std::sync::atomic::AtomicUsize,
 }
 
@@ -68,10 +73,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
         let addr = listener.local_addr().expect("a bound address");
         let behaviour = Arc::new(Mutex::new(Behaviour::Healthy));
+        let limit = Arc::new(Mutex::new(None));
         let state = Arc::new(ServerState {
             name: name.clone(),
             ledger: ledger.clone(),
             behaviour: Arc::clone(&behaviour),
+            limit: Arc::clone(&limit),
             running: std::sync::atomic::AtomicUsize::new(0),
         });
         let accept_task = tokio::spawn(async move {
@@ -95,6 +102,8 @@
             number,
             proxy: Proxy::start(addr).await,
             behaviour,
+            limit,
+            ledger: ledger.clone(),
             accept_task,
         }
     }
@@ -107,6 +116,12 @@
         *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
     }
 
+    /// Makes the server state a limit in its answers, or none.
+    pub fn set_limit(&self, limit: Option<&'static str>) {
+        self.ledger.record_limit(&self.name, limit);
+        *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
+    }
+
     /// Stops the server and closes all its connections.
     pub fn crash(&self) {
         self.accept_task.abort();
@@ -146,6 +161,7 @@
     if expected != state.name {
         return Ok(respond(StatusCode::MISDIRECTED_REQUEST, &id, None, String::new()));
     }
+    state.ledger.record_arrival(&state.name);
     let Ok(body) = body.collect().await else {
         return Err(ConnectionAborted);
     };
@@ -170,12 +186,19 @@
     let factor = if behaviour == Behaviour::Slow { 20.0 } else { 1.0 };
     tokio::time::sleep(MAX_WORK_TIME.mul_f64(fraction * factor)).await;
     state.running.fetch_sub(1, Ordering::Relaxed);
-    match behaviour {
-        Behaviour::DropsAnswers if is_affected => Err(ConnectionAborted),
-        Behaviour::Fails if is_affected => Ok(respond(StatusCode::INTERNAL_SERVER_ERROR, &id, None, "no".to_owned())),
-        Behaviour::Truncates if is_affected => Ok(truncated(&id)),
-        _ => Ok(respond(StatusCode::OK, &id, None, answer_body(&id))),
+    let mut answer = match behaviour {
+        Behaviour::DropsAnswers if is_affected => return Err(ConnectionAborted),
+        Behaviour::Fails if is_affected => respond(StatusCode::INTERNAL_SERVER_ERROR, &id, None, "no".to_owned()),
+        Behaviour::Truncates if is_affected => truncated(&id),
+        _ => respond(StatusCode::OK, &id, None, answer_body(&id)),
+    };
+    let limit = *state.limit.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(limit) = limit {
+        answer
+            .headers_mut()
+            .insert(SERVER_LIMIT, HeaderValue::from_static(limit));
     }
+    Ok(answer)
 }
 
 fn respond(status: StatusCode, id: &str, marker: Option<&str>, body: String) -> Response<Body> {
--- a/tests/soak/step.rs
+++ b/tests/soak/step.rs
@@ -19,6 +19,9 @@
 /// Time for which the entry of a server that crashed or is leaving stays in the store.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(4);
 
+/// Limits that servers state; the last ones are malformed or cannot be met by any server.
+const LIMITS: [&str; 9] = ["1", "2.5", "4", "7", "0.3", "0", "-2", "soon", "1e300"];
+
 /// An external event; VMs, servers and failure domains are identified by their index.
 #[derive(Clone, Copy, Debug)]
 pub enum Step {
@@ -35,6 +38,8 @@
     ServerLink(usize, Link),
     ServerOpenConnections(usize, OpenConnections),
     SetBehaviour(usize, Behaviour),
+    /// Makes a server state this limit, or none.
+    SetLimit(usize, Option<&'static str>),
     CrashServer(usize),
     /// Marks the entry of a server as leaving.
     MarkLeaving(usize),
@@ -103,9 +108,34 @@
         let all = (0..vms).flat_map(|vm| [(at, Step::Kill(vm)), (at + Duration::from_secs(1), Step::Start(vm))]);
         steps.extend(all);
     }
+    steps.extend(random_limits(rng, servers));
     sorted_by_time(steps)
 }
 
+/// Limits that servers state, change and take back, some of which cannot be read; in one phase in three, all servers state
+/// one at once.
+fn random_limits(rng: &mut StdRng, servers: usize) -> Vec<TimedStep> {
+    let mut steps = Vec::new();
+    let are_all_limited = rng.random_ratio(1, 3);
+    for server in 0..servers {
+        if !are_all_limited && !rng.random_ratio(1, 3) {
+            continue;
+        }
+        let at = Duration::from_millis(if are_all_limited {
+            500
+        } else {
+            rng.random_range(0..4000)
+        });
+        let end = at + Duration::from_millis(rng.random_range(4000..9000));
+        let limit = *LIMITS.choose(rng).expect("the list is not empty");
+        steps.extend([
+            (at, Step::SetLimit(server, Some(limit))),
+            (end, Step::SetLimit(server, None)),
+        ]);
+    }
+    steps
+}
+
 /// Planned work only: one VM is stopped and started while configurations and servers change.
 pub fn planned_work(rng: &mut StdRng, vms: usize, servers: usize) -> Vec<TimedStep> {
     let mut steps = Vec::new();
