--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -83,7 +83,7 @@
                 node.send_to(addr, &Datagram::Taken { number, answer });
             }
         }
-        Datagram::Taken { number, answer } => node.on_token_response(number, answer),
+        Datagram::Taken { number, answer } => node.pending_token_requests.complete(number, answer),
         Datagram::Limits(msg) => node.on_limit_msg(from, msg),
         Datagram::LimitAsk { number, ask } => node.on_limit_ask(from, number, &ask, now),
         Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
--- a/crates/mh_gateway/src/node.rs
+++ b/crates/mh_gateway/src/node.rs
@@ -1,6 +1,7 @@
 mod gateway_node;
 mod membership;
 mod metrics;
+mod node_peers;
 mod pending_replies;
 mod ports;
 mod shutdown;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -1,21 +1,21 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use mh_admin::Metrics;
 use mh_budget::{Answer, Msg, Outgoing, VmIdentity};
 use mh_edge::CallerPort;
-use mh_limit::{Ask, Reply};
+use mh_limit::Reply;
 use mh_member::{Membership, Outbox, VmList};
-use mh_platform::BoxFuture;
-use mh_types::{Code, Event, Incarnation, OrgName, RegionName, ServiceName, VmName, emit};
+use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VmName, emit};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::membership::new_membership;
+use super::node_peers::{NodeLimitPeers, NodeQuotaPeers};
 use super::pending_replies::PendingReplies;
 use super::ports;
 use super::supervise::supervise;
@@ -24,16 +24,13 @@
 };
 use crate::request::Timings;
 use crate::{
-    AnnouncedVm, Feed, Gateway, GatewaySettings, HeaderNames, Interface, LimitPeers, LiveState, QuotaPeers, ShiftPhase,
-    ShiftRecord, Source, Update,
+    AnnouncedVm, Feed, Gateway, GatewaySettings, HeaderNames, Interface, LiveState, ShiftPhase, ShiftRecord, Source,
+    Update,
 };
 
 /// Minimum time between two attempts to write one phase of a shift.
 const SHIFT_WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Longest wait for the token response of another VM: a round trip between regions and a margin.
-const TOKEN_REQUEST_TIMEOUT: Duration = Duration::from_millis(80);
-
 /// Lending messages per datagram. A message takes about 100 bytes, so that the datagram stays below the usual MTU.
 const LENDING_MSGS_PER_DATAGRAM: usize = 10;
 
@@ -56,7 +53,7 @@
     pub(crate) membership: Mutex<Membership>,
     pub(crate) quotas: Mutex<QuotaController>,
     pub(crate) relay: Relay,
-    pending_token_requests: PendingReplies<Answer>,
+    pub(crate) pending_token_requests: PendingReplies<Answer>,
     pub(crate) pending_limit_asks: PendingReplies<Reply>,
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
@@ -75,26 +72,6 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Sends requests for quota to other VMs through the node's socket.
-#[derive(Debug)]
-struct NodeQuotaPeers(Weak<GatewayNode>);
-
-impl QuotaPeers for NodeQuotaPeers {
-    fn ask<'a>(&'a self, vm: &'a VmName, org: &'a OrgName) -> BoxFuture<'a, Option<Answer>> {
-        Box::pin(async move { self.0.upgrade()?.ask_quota(vm, org).await })
-    }
-}
-
-/// Asks other VMs to admit requests through the node's socket.
-#[derive(Debug)]
-struct NodeLimitPeers(Weak<GatewayNode>);
-
-impl LimitPeers for NodeLimitPeers {
-    fn ask<'a>(&'a self, vm: &'a VmName, ask: &'a Ask) -> BoxFuture<'a, Option<Reply>> {
-        Box::pin(async move { self.0.upgrade()?.ask_limit(vm, ask).await })
-    }
-}
-
 impl GatewayNode {
     /// Binds the ports and starts the control loops.
     ///
@@ -251,27 +228,6 @@
         lock(&self.deployment).vm(vm).map(|listed| listed.peers)
     }
 
-    /// Requests one token of a quota from another VM's share; `None` after [`TOKEN_REQUEST_TIMEOUT`].
-    async fn ask_quota(&self, vm: &VmName, org: &OrgName) -> Option<Answer> {
-        let addr = self.peer_addr(vm)?;
-        let org = org.clone();
-        let send = |number| self.send_to(addr, &Datagram::Take { number, org });
-        self.pending_token_requests.exchange(send, TOKEN_REQUEST_TIMEOUT).await
-    }
-
-    /// Asks another VM to admit a request to a server with a limit; `None` after [`TOKEN_REQUEST_TIMEOUT`].
-    async fn ask_limit(&self, vm: &VmName, ask: &Ask) -> Option<Reply> {
-        let addr = self.peer_addr(vm)?;
-        let ask = ask.clone();
-        let send = |number| self.send_to(addr, &Datagram::LimitAsk { number, ask });
-        self.pending_limit_asks.exchange(send, TOKEN_REQUEST_TIMEOUT).await
-    }
-
-    /// Passes the token response of another VM to the request that waits for it.
-    pub(crate) fn on_token_response(&self, number: u64, answer: Answer) {
-        self.pending_token_requests.complete(number, answer);
-    }
-
     /// Returns whether this VM accepts callers.
     pub(crate) fn is_ready(&self) -> bool {
         self.gateway.live().ready && !self.gateway.is_leaving()
--- a/crates/mh_gateway/src/request/limit_gate.rs
+++ b/crates/mh_gateway/src/request/limit_gate.rs
@@ -1,6 +1,5 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-
 use std::time::Duration;
 
 use mh_limit::{Admission, Ask, LimitChange, Limits, Outbox, Stated, Target};
