--- a/crates/mh_limit/benches/cost.rs
+++ b/crates/mh_limit/benches/cost.rs
@@ -72,7 +72,7 @@
         };
         let asks: Vec<Ask> = (0..servers).map(ask).collect();
         let on_ask = time(100_000, |call| {
-            drop(black_box(limits.on_ask(now, &asks[call as usize % servers])))
+            drop(black_box(limits.on_ask(now, &asks[call as usize % servers])));
         });
         let owned = targets
             .iter()
