Fuzz the messages about limits, and split the simulated fleet's file

no_message_stops_the_process sends statements, digests, questions and replies with extreme numbers and mutated bytes as well. The check of the rule and the small types of the simulated fleet have files of their own; no check changed.

--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -286,6 +286,7 @@
         incarnation: Incarnation(number),
         body,
     });
+    out.extend(limit_messages(number, time));
     let server: ServerName = "s1".into();
     out.extend([
         reader_report(number, time, None),
@@ -300,6 +301,39 @@
     out
 }
 
+/// Returns messages of every kind about limits that servers state.
+fn limit_messages(number: u64, time: Duration) -> [Datagram; 4] {
+    let statement = mh_limit::Statement {
+        server: "s1".into(),
+        run: number,
+        change: number as u32,
+        limit: mh_limit::ServerLimit::parse(&number.to_string()).ok(),
+    };
+    let target = mh_limit::Target {
+        server: "s1".into(),
+        run: number,
+        domain: "a".into(),
+        region: "maine".into(),
+    };
+    let ask = mh_limit::Ask {
+        target,
+        statement: statement.clone(),
+    };
+    let reply = mh_limit::Reply {
+        verdict: mh_limit::Verdict::Full(time),
+        newer: Some(statement.clone()),
+    };
+    [
+        Datagram::Limits(mh_limit::Msg::Statements(vec![statement])),
+        Datagram::Limits(mh_limit::Msg::Digest {
+            hash: number,
+            is_reply: false,
+        }),
+        Datagram::LimitAsk { number, ask },
+        Datagram::LimitReply { number, reply },
+    ]
+}
+
 /// Guards against a message that stops the exchange with other VMs or the handling of callers' requests.
 #[tokio::test]
 async fn no_message_stops_the_process() {
--- a/crates/mh_limit/tests/fleet/mod.rs
+++ b/crates/mh_limit/tests/fleet/mod.rs
@@ -1,5 +1,9 @@
 //! Simulated fleet of VMs that send requests to one server with a limit.
 
+mod arrival;
+mod fault;
+mod rule;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::Duration;
@@ -10,6 +14,9 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
 
+use arrival::Arrival;
+pub use fault::Fault;
+
 /// Time that a VM waits for a reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(80);
 
@@ -19,32 +26,9 @@
 /// Time that the server takes to answer.
 const WORK_TIME: Duration = Duration::from_millis(50);
 
-/// Window of the rule that binds the server's arrivals.
-pub const WINDOW: Duration = Duration::from_secs(4);
-
-/// Time after the first statement from which on the rule binds.
-pub const STABLE: Duration = Duration::from_secs(3);
-
 /// Time after which the requests of a VM that passed on a statement count.
 const TOLD_DELAY: Duration = Duration::from_millis(500);
 
-/// Fault of one VM.
-#[derive(Clone, Copy, Debug)]
-pub enum Fault {
-    /// The process ends.
-    Kill,
-    /// The VM leaves the list; its process still has requests until it ends.
-    Leave,
-    /// A new process starts, or a paused one goes on.
-    Run,
-    /// The process stands still.
-    Pause,
-    /// The VM loses contact with all that are not cut off too; it still reaches the server.
-    Cut,
-    /// The contact is back.
-    Heal,
-}
-
 #[derive(Debug)]
 enum Event {
     Request(usize),
@@ -80,16 +64,6 @@
     held: Vec<Event>,
 }
 
-/// One request at the server.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrival {
-    pub at: Duration,
-    /// Whether its VM had passed on a statement half a second before.
-    pub is_told: bool,
-    /// Whether its VM was cut off within the time that others take to notice.
-    pub is_cut: bool,
-}
-
 pub struct Fleet {
     start: Instant,
     now: Duration,
@@ -204,43 +178,6 @@
         self.vms.len()
     }
 
-    /// Returns the largest excess of the arrivals that `counts` accepts over what the rule allows in any window. The rule
-    /// binds from [`STABLE`] after the first statement on; while windows reach back before that, only the VMs count that
-    /// had passed on a statement.
-    pub fn max_excess(&self, counts: impl Fn(&Arrival) -> bool) -> f64 {
-        let Some((first, _)) = self.stated.first() else {
-            return 0.0;
-        };
-        let is_counted = |a: &&Arrival| counts(a) && (a.is_told || a.at > *first + STABLE);
-        let counted: Vec<Duration> = self.arrivals.iter().filter(is_counted).map(|a| a.at).collect();
-        let mut max = f64::MIN;
-        let mut from = 0;
-        for (index, at) in counted.iter().enumerate() {
-            while counted[from] + WINDOW < *at {
-                from += 1;
-            }
-            let Some(limit) = self.highest_limit(*at).filter(|_| *at >= *first + STABLE) else {
-                continue;
-            };
-            let allowed = 1.5 * limit * WINDOW.as_secs_f64() + 5.0;
-            max = max.max((index - from + 1) as f64 - allowed);
-        }
-        assert!(max > f64::MIN, "no window was checked");
-        max
-    }
-
-    /// Highest limit stated in the window before `at` and in the second before it; `None` if it stated none for a part
-    /// of that time.
-    fn highest_limit(&self, at: Duration) -> Option<f64> {
-        let from = at.saturating_sub(WINDOW + Duration::from_secs(1));
-        let held = self.stated.iter().rev().find(|(since, _)| *since <= from);
-        let later = self.stated.iter().filter(|(since, _)| *since > from && *since <= at);
-        held.into_iter()
-            .chain(later)
-            .map(|(_, limit)| *limit)
-            .try_fold(0.0, |max, limit| Some(limit?.max(max)))
-    }
-
     fn at(&self) -> Instant {
         self.start + Duration::from_secs(100) + self.now
     }
