--- a/crates/mh_gateway/examples/upload_memory.rs
+++ b/crates/mh_gateway/examples/upload_memory.rs
@@ -19,7 +19,7 @@
     Batch, Bounds, CallerLimits, DeploymentState, Feed, Gateway, HeaderNames, HostRoute, LiveState, Plan, PlanService,
     RegisteredServer, RequestKind, Target, Update,
 };
-use mh_types::Revision;
+use mh_types::{Revision, StoreVersion};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
@@ -128,6 +128,7 @@
         leaving: false,
         cold_for: Duration::ZERO,
         run: 1,
+        sequence: 1,
     };
     let updates = [
         (Feed::Settings, vec![Update::Plan(plan.into())]),
@@ -137,8 +138,8 @@
     ];
     for (feed, updates) in updates {
         let batch = Batch {
-            version: 1,
-            last_changed_version: 1,
+            version: StoreVersion::new(0, 1),
+            last_changed_version: StoreVersion::new(0, 1),
             clock: Duration::ZERO,
             updates,
         };
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -10,7 +10,7 @@
 
 /// Version of the message format between VMs. Messages of another version are ignored. VMs with different versions each
 /// read the store themselves and derive their quota shares from the VM list alone.
-pub(crate) const WIRE_VERSION: u8 = 1;
+pub(crate) const WIRE_VERSION: u8 = 2;
 
 /// Bytes before the payload: the format version and the payload's checksum.
 const HEADER_BYTES: usize = 1 + size_of::<u64>();
@@ -60,7 +60,7 @@
     /// A message of the membership protocol.
     Member(mh_member::Msg),
     /// The feed versions that a reader of the store holds, with its latest changes.
-    News(ReaderReport),
+    News(Box<ReaderReport>),
     /// The sender can no longer read the store.
     NoNews,
     /// Request counts that backend servers reported to the sender.
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -1,4 +1,6 @@
+mod departed;
 mod live;
+mod restored;
 mod snapshot;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -12,6 +14,7 @@
 use super::known_server::KnownServer;
 use super::shift_controller::ShiftController;
 use crate::{AnnouncedVm, Batch, Bounds, Feed, Plan, RegisteredServer, ShiftOrder, ShiftRecord, Update};
+use restored::RestoredState;
 
 /// This VM's state of the deployment, built from the feeds of the source.
 #[derive(Debug)]
@@ -39,6 +42,7 @@
     vms_read_at: Option<Instant>,
     /// A reading of the store's clock, with the local time of the read.
     clock: Option<(Duration, Instant)>,
+    restored: RestoredState,
 }
 
 impl DeploymentState {
@@ -62,6 +66,7 @@
             built_inputs: HashMap::new(),
             vms_read_at: None,
             clock: None,
+            restored: RestoredState::default(),
         }
     }
 
@@ -75,11 +80,15 @@
     /// removed.
     pub fn apply(&mut self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) {
         self.clock = Some((batch.clock, now));
+        if is_whole && feed == Feed::Vms {
+            self.vms_read_at = Some(now);
+        }
+        if is_whole && self.restored.enter_era(feed, batch.version.era) {
+            self.apply_restored(feed, batch, now);
+            return;
+        }
         if is_whole {
             self.remove_missing(feed, batch, now);
-            if feed == Feed::Vms {
-                self.vms_read_at = Some(now);
-            }
         }
         self.read_feeds.insert(feed);
         for update in &batch.updates {
@@ -101,6 +110,11 @@
         }
     }
 
+    /// Returns the time within which entries are listed again after an outage or a restore of the source.
+    pub(crate) fn entry_return(&self) -> Duration {
+        self.bounds.entry_return
+    }
+
     /// Returns the store's clock at `now`; `None` before the first read.
     pub fn store_clock(&self, now: Instant) -> Option<Duration> {
         let (clock, at) = self.clock?;
@@ -136,14 +150,18 @@
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let servers = self.servers.values();
         let times = servers.flat_map(|server| [server.removed_at, Some(server.version_open_at)]);
-        times.flatten().filter(|at| *at > now).min()
+        let times = times.flatten().chain(self.restored.deadlines());
+        times.filter(|at| *at > now).min()
     }
 
-    /// Removes the servers whose delayed removal is due.
+    /// Removes what was kept for a limited time and is due: servers, and settings that a restore of the store lost.
     pub fn expire(&mut self, now: Instant) {
+        self.expire_lost(now);
+        let restored = &mut self.restored;
         self.servers.retain(|name, server| {
             let gone = server.removed_at.is_some_and(|at| at <= now);
             if gone {
+                restored.on_server_departed(name, &server.entry);
                 emit!(Event::ServerUnlisted, server = name, after = "outage");
             }
             !gone
@@ -154,20 +172,32 @@
     fn remove_missing(&mut self, feed: Feed, batch: &Batch, now: Instant) {
         match feed {
             Feed::Settings => {
-                self.drained.clear();
-                self.orders.clear();
+                self.drained.retain(|domain| self.restored.is_drain_lost(domain));
+                self.orders.retain(|service, _| self.restored.is_order_lost(service));
+            }
+            Feed::Shifts => {
+                let restored = &self.restored;
+                self.records.retain(|service, _| restored.is_record_outdated(service));
+            }
+            Feed::Vms => {
+                let named = batch.named(|update| match update {
+                    Update::Vm(vm, Some(_)) => Some(vm),
+                    _ => None,
+                });
+                let restored = &mut self.restored;
+                self.vms.retain(|vm, _| {
+                    let is_kept = named.contains(vm) || restored.is_vm_lost(vm);
+                    if !is_kept {
+                        restored.on_vm_departed(vm);
+                    }
+                    is_kept
+                });
             }
-            Feed::Shifts => self.records.clear(),
-            Feed::Vms => self.vms.clear(),
             Feed::Servers => {
-                let named: HashSet<&ServerName> = batch
-                    .updates
-                    .iter()
-                    .filter_map(|update| match update {
-                        Update::Server(name, Some(_)) => Some(name),
-                        _ => None,
-                    })
-                    .collect();
+                let named = batch.named(|update| match update {
+                    Update::Server(name, Some(_)) => Some(name),
+                    _ => None,
+                });
                 let missing: Vec<ServerName> = self
                     .servers
                     .keys()
@@ -182,6 +212,7 @@
     }
 
     fn update(&mut self, update: &Update, now: Instant) {
+        self.restored.on_update(update);
         match update {
             Update::Plan(plan) => self.set_plan(plan),
             Update::Drained(domain, drained) => {
@@ -198,7 +229,10 @@
                 let to = order.as_ref().map_or("none", |order| order.to.as_str());
                 emit!(Event::ShiftOrdered, service = service, to = to);
                 match order {
-                    Some(order) => drop(self.orders.insert(service.clone(), order.clone())),
+                    Some(order) => {
+                        self.carry_over_shift(service, order);
+                        self.orders.insert(service.clone(), order.clone());
+                    }
                     None => drop(self.orders.remove(service)),
                 }
             }
@@ -243,7 +277,8 @@
             to = record.to,
             phase = format_args!("{:?}", record.phase)
         );
-        self.records.insert(service.clone(), record.clone());
+        let record = self.merge_record(service, record);
+        self.records.insert(service.clone(), record);
     }
 
     fn set_server(&mut self, name: &ServerName, entry: &RegisteredServer, now: Instant) {
@@ -291,7 +326,8 @@
             (Some(known), Some(by)) if !known.entry.leaving => {
                 known.removed_at = known.removed_at.or(Some(by));
             }
-            (Some(_), _) => {
+            (Some(known), _) => {
+                self.restored.on_server_departed(name, &known.entry);
                 self.servers.remove(name);
                 emit!(Event::ServerUnlisted, server = name, after = "removal");
             }
--- a/crates/mh_gateway/src/control/deployment_state/snapshot.rs
+++ b/crates/mh_gateway/src/control/deployment_state/snapshot.rs
@@ -6,13 +6,21 @@
 use crate::{Feed, Update};
 
 impl DeploymentState {
-    /// Returns the full state of `feed`, for a VM that holds nothing yet.
+    /// Returns the full state of `feed`, for a VM that holds nothing yet. What a restore of the store lost is left out: the
+    /// receiver decides on its own whether to keep it.
     pub fn snapshot(&self, feed: Feed, now: Instant) -> Vec<Update> {
         match feed {
             Feed::Settings => {
                 let plan = self.plan.iter().map(|plan| Update::Plan(Arc::clone(plan)));
-                let drained = self.drained.iter().map(|domain| Update::Drained(domain.clone(), true));
-                let orders = self.orders.iter();
+                let drained = self
+                    .drained
+                    .iter()
+                    .filter(|domain| !self.restored.is_drain_lost(domain));
+                let drained = drained.map(|domain| Update::Drained(domain.clone(), true));
+                let orders = self
+                    .orders
+                    .iter()
+                    .filter(|(service, _)| !self.restored.is_order_lost(service));
                 let orders = orders.map(|(service, order)| Update::Order(service.clone(), Some(order.clone())));
                 plan.chain(drained).chain(orders).collect()
             }
@@ -30,7 +38,7 @@
                     .collect()
             }
             Feed::Vms => {
-                let vms = self.vms.iter();
+                let vms = self.vms.iter().filter(|(vm, _)| !self.restored.is_vm_lost(vm));
                 vms.map(|(name, vm)| Update::Vm(name.clone(), Some(vm.clone())))
                     .collect()
             }
--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -5,8 +5,9 @@
 use tokio::time::Instant;
 
 use super::announce;
-use crate::Feed;
+use super::reader_report::FeedVersions;
 use crate::node::{GatewayNode, lock};
+use crate::{ChangesRead, Feed};
 
 /// Longest wait of one call for changes. Longer waits mean fewer calls; keep-alive on the connection detects a dead
 /// peer.
@@ -56,6 +57,11 @@
             epoch = node.epoch();
             node.relay.invalidate(feed);
         }
+        let restores = node.relay.restores();
+        // The other VMs of a region fetch what the readers have read anew.
+        if node.relay.is_reader() {
+            node.relay.invalidate_outdated(feed);
+        }
         let mut held = node.relay.versions(feed);
         if held.is_none() && feed == Feed::Vms && is_first_start {
             is_first_start = false;
@@ -86,23 +92,16 @@
             continue;
         }
         let started = Instant::now();
-        let read = async {
-            match held {
-                Some(versions) => {
-                    let wait = node.relay.poll_wait(feed, LONG_POLL_WAIT);
-                    node.source.changes(feed, versions.held, wait).await
-                }
-                None => node.source.read(feed).await.map(Some),
-            }
-        };
-        // After a suspension the read may wait on a dead connection.
+        // After a suspension the read may wait on a dead connection; after a restore it may wait for changes that the
+        // store has lost.
         let result = tokio::select! {
-            result = read => result,
+            result = read_feed(&node, feed, held) => result,
             () = node.epoch_changed(epoch) => continue,
+            () = node.relay.store_restored(restores) => continue,
         };
         let now = Instant::now();
         match result {
-            Ok(Some(batch)) => {
+            Ok(ChangesRead::Changes(batch)) => {
                 if let Some(at) = lost_at.take() {
                     on_recovered(&node, feed, last_failed_read_at, at);
                 }
@@ -117,10 +116,13 @@
                     tokio::time::sleep(batching_delay(feed)).await;
                 }
             }
-            Ok(None) => {
+            Ok(ChangesRead::HistoryLost { era }) => {
                 let version = held.unwrap_or_default().held;
-                emit!(Event::FeedReset, feed = feed, version = version);
-                node.relay.invalidate(feed);
+                emit!(Event::FeedReset, feed = feed, version = version, era = era);
+                node.relay.note_era(era);
+                if node.relay.versions(feed) == held {
+                    node.relay.invalidate(feed);
+                }
             }
             Err(e) => {
                 last_failed_read_at = started;
@@ -148,6 +150,17 @@
     }
 }
 
+/// Reads the changes of `feed` after the version held, or the full state if none is held.
+async fn read_feed(node: &GatewayNode, feed: Feed, held: Option<FeedVersions>) -> mh_platform::Result<ChangesRead> {
+    match held {
+        Some(versions) => {
+            let wait = node.relay.poll_wait(feed, LONG_POLL_WAIT);
+            node.source.changes(feed, versions.held, wait).await
+        }
+        None => node.source.read(feed).await.map(ChangesRead::Changes),
+    }
+}
+
 /// Records that `feed` can be read again after an outage that began at `lost_at`.
 fn on_recovered(node: &GatewayNode, feed: Feed, last_failed_read_at: Instant, lost_at: Instant) {
     let entries_may_have_expired = lost_at.elapsed() > MIN_EXPIRY_OUTAGE;
--- a/crates/mh_gateway/src/control/feed_states.rs
+++ b/crates/mh_gateway/src/control/feed_states.rs
@@ -1,4 +1,5 @@
 use mh_relay::ChangeLog;
+use mh_types::StoreVersion;
 use tokio::time::Instant;
 
 use super::reader_report::{Changes, FeedVersions, ReaderReport};
@@ -18,7 +19,12 @@
 
 /// Versions, change logs and read status of each feed, whether read from the store or received from other VMs.
 #[derive(Debug, Default)]
-pub(crate) struct FeedStates([FeedState; Feed::ALL.len()]);
+pub(crate) struct FeedStates {
+    feeds: [FeedState; Feed::ALL.len()],
+    /// Newest era of the store that this VM knows of; `None` before the first read. Everything from an earlier era is
+    /// outdated.
+    era: Option<u64>,
+}
 
 #[derive(Debug, Default)]
 struct FeedState {
@@ -33,11 +39,11 @@
 
 impl FeedStates {
     fn state(&self, feed: Feed) -> &FeedState {
-        &self.0[feed as usize]
+        &self.feeds[feed as usize]
     }
 
     fn state_mut(&mut self, feed: Feed) -> &mut FeedState {
-        &mut self.0[feed as usize]
+        &mut self.feeds[feed as usize]
     }
 
     /// Returns the versions held of `feed`.
@@ -65,15 +71,43 @@
         self.state(feed).confirmed_at
     }
 
+    /// Records that the store is in `era`; returns whether it was restored since this VM last learned its era.
+    pub(crate) fn note_era(&mut self, era: u64) -> bool {
+        let is_later = self.era.is_some_and(|known| era > known);
+        self.era = self.era.max(Some(era));
+        is_later
+    }
+
+    /// Returns whether `era` is over, so that nothing from it may be used.
+    pub(crate) fn is_era_over(&self, era: u64) -> bool {
+        self.era.is_some_and(|known| era < known)
+    }
+
+    /// Discards the versions of `feed` if they are of an era that is over.
+    pub(crate) fn invalidate_outdated(&mut self, feed: Feed) -> bool {
+        let is_outdated = self
+            .versions(feed)
+            .is_some_and(|versions| self.is_era_over(versions.held.era));
+        if is_outdated {
+            self.invalidate(feed);
+        }
+        is_outdated
+    }
+
     /// Accepts a batch from the store or from another VM.
     pub(crate) fn accept(&mut self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) -> AcceptOutcome {
+        // A read that was answered before the store was restored says nothing about its state now.
+        if self.is_era_over(batch.version.era) {
+            return AcceptOutcome::Unchanged;
+        }
+        self.note_era(batch.version.era);
         let state = self.state_mut(feed);
         // A stale replica of the store, or a read that a newer report has overtaken, must not revert anything.
         if state.versions.is_some_and(|held| batch.version < held.held) {
             return AcceptOutcome::Unchanged;
         }
-        state.confirmed_at = Some(now);
         if is_whole {
+            state.confirmed_at = Some(now);
             state.log.reset(batch.version);
             state.versions = Some(FeedVersions {
                 held: batch.version,
@@ -85,6 +119,11 @@
         let Some(versions) = &mut state.versions else {
             return AcceptOutcome::Unchanged;
         };
+        // Changes of another era do not follow from the state held.
+        if batch.version.era != versions.held.era {
+            return AcceptOutcome::Unchanged;
+        }
+        state.confirmed_at = Some(now);
         let before = *versions;
         versions.held = batch.version;
         if batch.updates.is_empty() || batch.last_changed_version <= before.held {
@@ -100,11 +139,16 @@
         })
     }
 
-    /// Returns the versions of all feeds if this VM holds every feed and its last read of each succeeded.
+    /// Returns the versions of all feeds if this VM holds every feed, in the newest era, and its last read of each
+    /// succeeded.
     pub(crate) fn reportable_versions(&self) -> Option<[FeedVersions; Feed::ALL.len()]> {
         let mut out = [FeedVersions::default(); Feed::ALL.len()];
-        for (versions, state) in out.iter_mut().zip(&self.0) {
-            *versions = state.versions.filter(|_| !state.is_failing)?;
+        for (versions, state) in out.iter_mut().zip(&self.feeds) {
+            let held = state.versions.filter(|_| !state.is_failing)?;
+            if self.is_era_over(held.held.era) {
+                return None;
+            }
+            *versions = held;
         }
         Some(out)
     }
@@ -112,6 +156,7 @@
     /// Compares with another VM's report. A feed without missed changes counts as held up to the reported version.
     /// Returns the feeds of which the other VM holds newer changes.
     pub(crate) fn compare(&mut self, report: &ReaderReport, now: Instant) -> Vec<Feed> {
+        self.note_era(report.era());
         let mut behind = Vec::new();
         for (feed, reported) in Feed::ALL.into_iter().zip(report.feeds) {
             let state = self.state_mut(feed);
@@ -132,7 +177,7 @@
     /// far.
     ///
     /// A plan is large: sending a series of them to a whole region would saturate a small VM's link for seconds.
-    pub(crate) fn since(&self, feed: Feed, version: u64) -> Option<Vec<Update>> {
+    pub(crate) fn since(&self, feed: Feed, version: StoreVersion) -> Option<Vec<Update>> {
         self.state(feed).log.since(version)
     }
 }
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -69,7 +69,7 @@
             let out = lock(&node.membership).on_msg(now, from, msg);
             node.send_membership(out);
         }
-        Datagram::News(report) => node.on_reader_report(from, report, now),
+        Datagram::News(report) => node.on_reader_report(from, *report, now),
         Datagram::NoNews => node.on_reader_failed(from),
         Datagram::Loads(loads) => node.on_load_reports(&loads, now),
         Datagram::Lend(msgs) => {
@@ -145,7 +145,7 @@
     let dead: Vec<VmName> = dead.map(|vm| vm.vm.clone()).collect();
     let own = node.announced();
     // A restarted VM whose entry is unchanged need not write it again.
-    let is_listed = deployment.vm(&own.vm) == Some(&own);
+    let is_listed = deployment.vm(&own.vm) == Some(&own) && deployment.is_vm_stored(&own.vm);
     let is_own_entry_missing = deployment.has_read(Feed::Vms) && !is_listed && !node.gateway.is_leaving();
     if !alive.contains(&own.vm) && !node.gateway.is_leaving() {
         alive.push(own.vm);
@@ -158,13 +158,22 @@
         let limits = node.gateway.limits();
         limits.with(|limits| limits.set_vms(now, &admitting, listed));
     }
+    let lost = deployment.lost_vms(deployment.entry_return(), now);
+    let revived = deployment.revived_vms();
     drop(membership);
     drop(deployment);
     let mut stale = lock(&node.stale_vms);
-    let due = stale.due(node.gateway.vm(), &alive, dead, now);
+    let mut due = stale.due(node.gateway.vm(), &alive, dead, now);
+    // Only the VMs that read the store see these.
+    due.extend(revived.into_iter().filter(|vm| stale.claim_attempt(vm, now)));
+    let is_first = alive.iter().min() == Some(node.gateway.vm());
+    let lost = lost
+        .into_iter()
+        .filter(|vm| is_first && stale.claim_attempt(&vm.vm, now));
+    let lost = lost.collect();
     let should_announce = is_own_entry_missing && stale.claim_attempt(node.gateway.vm(), now);
     drop(stale);
-    update_vm_list(node, due, should_announce);
+    update_vm_list(node, due, lost, should_announce);
     node.set_vms(alive.len(), listed, callers);
     (alive, node.sharing_vms())
 }
--- a/crates/mh_gateway/src/control/reader_report.rs
+++ b/crates/mh_gateway/src/control/reader_report.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use mh_types::StoreVersion;
 use serde::{Deserialize, Serialize};
 
 use crate::{Feed, PlanChange, Update};
@@ -19,13 +20,24 @@
     pub(crate) plan_change: Option<PlanChange>,
 }
 
+impl ReaderReport {
+    /// Returns the newest era of the store that the reader has read from.
+    pub(crate) fn era(&self) -> u64 {
+        self.feeds
+            .iter()
+            .map(|versions| versions.held.era)
+            .max()
+            .unwrap_or_default()
+    }
+}
+
 /// Versions up to which a VM holds a feed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct FeedVersions {
     /// Version up to which all changes are known.
-    pub(crate) held: u64,
+    pub(crate) held: StoreVersion,
     /// Version of the last change.
-    pub(crate) changed: u64,
+    pub(crate) changed: StoreVersion,
 }
 
 /// Changes of one feed.
@@ -33,7 +45,7 @@
 pub(crate) struct Changes {
     pub(crate) feed: Feed,
     /// Version of the change before these.
-    pub(crate) after: u64,
+    pub(crate) after: StoreVersion,
     pub(crate) updates: Vec<Update>,
 }
 
--- a/crates/mh_gateway/src/control/relay.rs
+++ b/crates/mh_gateway/src/control/relay.rs
@@ -9,7 +9,7 @@
 
 use mh_platform::HttpClient;
 use mh_relay::{Election, RelayTimings};
-use mh_types::{DomainName, Event, VmName, emit};
+use mh_types::{DomainName, Event, StoreVersion, VmName, emit};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -42,11 +42,13 @@
     /// Held by the task that brings a feed up to date, so that other tasks wait instead of sending the same request.
     catch_up_locks: [tokio::sync::Mutex<()>; Feed::ALL.len()],
     /// Version of this process's first read of the VM list; `None` before it.
-    vm_list_version: watch::Sender<Option<u64>>,
+    vm_list_version: watch::Sender<Option<StoreVersion>>,
     /// Whether no other VM of the region is considered alive.
     no_live_peers: AtomicBool,
     /// Number of calls to the store that succeeded after a failed one.
     recoveries: watch::Sender<u64>,
+    /// Number of restores of the store that this VM has learned of.
+    restores: watch::Sender<u64>,
     /// Time of the last failed read of the server registry, after an outage in which entries of live servers expired.
     registry_down_at: Mutex<Option<Instant>>,
 }
@@ -67,6 +69,7 @@
             vm_list_version: watch::Sender::new(None),
             no_live_peers: AtomicBool::new(false),
             recoveries: watch::Sender::new(0),
+            restores: watch::Sender::new(0),
             registry_down_at: Mutex::default(),
         }
     }
@@ -77,8 +80,8 @@
         let versions = feeds.versions(feed);
         serde_json::json!({
             "feed": feed.to_string(),
-            "held": versions.map(|versions| versions.held),
-            "changed": versions.map(|versions| versions.changed),
+            "held": versions.map(|versions| versions.held.to_string()),
+            "changed": versions.map(|versions| versions.changed.to_string()),
             "age_ms": feeds.confirmed_at(feed).map(|at| now.saturating_duration_since(at).as_millis() as u64),
             "failing": feeds.is_failing(feed),
         })
@@ -91,12 +94,12 @@
     }
 
     /// Returns whether `feed` is held up to at least version `min`.
-    pub(crate) fn holds(&self, feed: Feed, min: u64) -> bool {
+    pub(crate) fn holds(&self, feed: Feed, min: StoreVersion) -> bool {
         self.versions(feed).is_some_and(|versions| versions.held >= min)
     }
 
     /// Waits for the first read of the VM list; returns its version.
-    async fn vm_list_version(&self) -> u64 {
+    async fn vm_list_version(&self) -> StoreVersion {
         let mut version = self.vm_list_version.subscribe();
         let read = version.wait_for(Option::is_some).await;
         // The sender lives as long as this value, so the wait does not fail.
@@ -115,6 +118,44 @@
         }
     }
 
+    /// Records that the store is in `era`. If it was restored since this VM last learned its era, the reads of all feeds
+    /// start over.
+    pub(crate) fn note_era(&self, era: u64) {
+        let is_restored = lock(&self.feeds).note_era(era);
+        if is_restored {
+            self.on_restored(era);
+        }
+    }
+
+    fn on_restored(&self, era: u64) {
+        emit!(Event::StoreRestored, era = era);
+        self.restores.send_modify(|count| *count += 1);
+    }
+
+    /// Returns how many restores of the store this VM has learned of.
+    pub(crate) fn restores(&self) -> u64 {
+        *self.restores.borrow()
+    }
+
+    /// Waits until this VM learns of a restore after the first `seen` ones.
+    pub(crate) async fn store_restored(&self, seen: u64) {
+        // The sender lives as long as this value, so the wait does not fail.
+        let _ = self.restores.subscribe().wait_for(|count| *count != seen).await;
+    }
+
+    /// Discards the versions of `feed` if they are from before a restore of the store.
+    pub(crate) fn invalidate_outdated(&self, feed: Feed) {
+        let is_outdated = lock(&self.feeds).invalidate_outdated(feed);
+        if is_outdated && feed == Feed::Vms {
+            self.vm_list_version.send_replace(None);
+        }
+    }
+
+    /// Returns whether a report from `era` is from before a restore of the store.
+    pub(crate) fn is_era_over(&self, era: u64) -> bool {
+        lock(&self.feeds).is_era_over(era)
+    }
+
     pub(crate) fn is_reader(&self) -> bool {
         *self.is_reader.borrow()
     }
--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use mh_types::{Code, Event, VmName, emit};
+use mh_types::{Code, Event, StoreVersion, VmName, emit};
 use tokio::time::Instant;
 
 use crate::control::datagram::decode;
@@ -13,7 +13,7 @@
 use crate::control::reader_report::{FetchResponse, ReaderReport};
 use crate::node::{GatewayNode, lock};
 use crate::request::increment;
-use crate::{Batch, Feed};
+use crate::{Batch, ChangesRead, Feed};
 
 /// Path that serves changes to other VMs of the region.
 pub(crate) const CHANGES_PATH: &str = "/changes";
@@ -41,7 +41,12 @@
 impl GatewayNode {
     /// Returns the encoded response to a VM that holds `feed` up to `version` and needs it up to `min`; `None` if this
     /// VM does not reach `min` within the time that the other VM waits.
-    pub(crate) async fn fetch_response(self: &Arc<Self>, feed: Feed, version: u64, min: u64) -> Option<Bytes> {
+    pub(crate) async fn fetch_response(
+        self: &Arc<Self>,
+        feed: Feed,
+        version: StoreVersion,
+        min: StoreVersion,
+    ) -> Option<Bytes> {
         // If all VMs were lost, the others are starting too, and waiting for them would prolong the outage. The VMs of
         // a fleet that starts for the first time have the time to wait for the first reads.
         if self.relay.versions(feed).is_none() && !self.cfg.first_start {
@@ -63,7 +68,7 @@
         self.encode_changes(feed, version)
     }
 
-    fn encode_changes(&self, feed: Feed, version: u64) -> Option<Bytes> {
+    fn encode_changes(&self, feed: Feed, version: StoreVersion) -> Option<Bytes> {
         let now = Instant::now();
         let feeds = lock(&self.relay.feeds);
         let versions = feeds.versions(feed)?;
@@ -82,7 +87,7 @@
     /// that reported to hold that version.
     ///
     /// The VMs form a tree in which each fetches from its parent, so that no VM sends more than a few copies.
-    pub(crate) async fn catch_up(&self, feed: Feed, min: u64, reported_by: Option<&VmName>) -> bool {
+    pub(crate) async fn catch_up(&self, feed: Feed, min: StoreVersion, reported_by: Option<&VmName>) -> bool {
         let _lock = self.relay.catch_up_locks[feed as usize].lock().await;
         if self.relay.holds(feed, min) {
             return true;
@@ -100,8 +105,11 @@
         false
     }
 
-    async fn fetch_feed(&self, addr: SocketAddr, feed: Feed, min: u64) -> Result<(), String> {
-        let held = self.relay.versions(feed).map_or(0, |versions| versions.held);
+    async fn fetch_feed(&self, addr: SocketAddr, feed: Feed, min: StoreVersion) -> Result<(), String> {
+        let held = self
+            .relay
+            .versions(feed)
+            .map_or(StoreVersion::ZERO, |versions| versions.held);
         let path = format!("{CHANGES_PATH}?{}&{held}&{min}", feed as usize);
         let client = self.relay.client(addr);
         let answer = client.send(Method::GET, &path, None, Code::PeerUnreachable).await;
@@ -120,7 +128,7 @@
     }
 
     /// Brings `feed` up to the version `min` from the store, with one read for all VMs that ask at the same time.
-    async fn read_up_to(&self, feed: Feed, min: u64) -> bool {
+    async fn read_up_to(&self, feed: Feed, min: StoreVersion) -> bool {
         let _lock = self.relay.catch_up_locks[feed as usize].lock().await;
         if self.relay.holds(feed, min) {
             return true;
@@ -140,8 +148,11 @@
     async fn read_once(&self, feed: Feed) -> mh_platform::Result<()> {
         let held = self.relay.versions(feed).unwrap_or_default().held;
         let (batch, is_whole) = match self.source.changes(feed, held, Duration::ZERO).await? {
-            Some(batch) => (batch, false),
-            None => (self.source.read(feed).await?, true),
+            ChangesRead::Changes(batch) => (batch, false),
+            ChangesRead::HistoryLost { era } => {
+                self.relay.note_era(era);
+                (self.source.read(feed).await?, true)
+            }
         };
         self.apply_batch(feed, &batch, is_whole, Instant::now());
         Ok(())
@@ -199,9 +210,15 @@
 
 /// Parses the query of [`CHANGES_PATH`]: the index of the feed, the version that the requesting VM holds, and the
 /// version that it needs.
-pub(crate) fn parse_changes_query(query: &str) -> Option<(Feed, u64, u64)> {
+pub(crate) fn parse_changes_query(query: &str) -> Option<(Feed, StoreVersion, StoreVersion)> {
     let mut parts = query.split('&');
     let feed = Feed::ALL.get(parts.next()?.parse::<usize>().ok()?)?;
-    let (held, min) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
+    let (held, min) = (parse_version(parts.next()?)?, parse_version(parts.next()?)?);
     Some((*feed, held, min))
 }
+
+/// Parses a version in its display format.
+fn parse_version(text: &str) -> Option<StoreVersion> {
+    let (era, number) = text.split_once('.')?;
+    Some(StoreVersion::new(era.parse().ok()?, number.parse().ok()?))
+}
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use mh_types::VmName;
+use mh_types::{StoreVersion, VmName};
 use tokio::time::Instant;
 
 use super::catch_up::fetch_missing;
@@ -43,6 +43,7 @@
 
     /// Applies a batch that was read from the store or received from another VM, and reports it to the region.
     pub(crate) fn apply_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) {
+        self.relay.note_era(batch.version.era);
         // The lock is held until the batch is applied, so that no VM is served old contents with newer versions.
         let mut feeds = lock(&self.relay.feeds);
         let accepted = feeds.accept(feed, batch, is_whole, now);
@@ -85,10 +86,10 @@
             plan_change,
         };
         let vm = self.gateway.vm();
-        let mut bytes = encode(vm, &Datagram::News(report.clone()));
+        let mut bytes = encode(vm, &Datagram::News(Box::new(report.clone())));
         if bytes.as_ref().is_ok_and(|bytes| bytes.len() > MAX_REPORT_BYTES) {
             (report.changes, report.plan_change) = (None, None);
-            bytes = encode(vm, &Datagram::News(report));
+            bytes = encode(vm, &Datagram::News(Box::new(report)));
         }
         // Versions and times always encode.
         let Ok(bytes) = bytes else { return };
@@ -103,6 +104,11 @@
 
     /// Handles the report of a reader of the store.
     pub(crate) fn on_reader_report(self: &Arc<Self>, from: &VmName, mut report: ReaderReport, now: Instant) {
+        self.relay.note_era(report.era());
+        // A reader that has not noticed a restore of the store confirms nothing.
+        if self.relay.is_era_over(report.era()) {
+            return;
+        }
         if let Some(age) = report.register_down {
             let at = now.checked_sub(age).unwrap_or(now);
             lock(&self.deployment).on_feed_recovered(Feed::Servers, at, true);
@@ -130,7 +136,9 @@
     ) {
         let versions = report.feeds[changes.feed as usize];
         let held = self.relay.versions(changes.feed);
-        if !held.is_some_and(|held| held.held >= changes.after && held.held < versions.changed) {
+        let follows =
+            |held: StoreVersion| held.era == versions.changed.era && held >= changes.after && held < versions.changed;
+        if !held.is_some_and(|held| follows(held.held)) {
             return;
         }
         if let Some(change) = plan_change {
--- a/crates/mh_gateway/src/control/shift_controller.rs
+++ b/crates/mh_gateway/src/control/shift_controller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mh_shift::{Canary, CanaryThresholds, Verdict};
-use mh_types::ServiceName;
+use mh_types::{ServiceName, StoreVersion};
 
 use crate::{ActiveShift, ShiftOrder, ShiftPhase, ShiftRecord};
 
@@ -27,7 +27,7 @@
 /// Canary state of the shifts that this VM takes part in.
 #[derive(Debug, Default)]
 pub(crate) struct ShiftController {
-    canaries: HashMap<ServiceName, (u64, Arc<Canary>)>,
+    canaries: HashMap<ServiceName, (StoreVersion, Arc<Canary>)>,
 }
 
 impl ShiftController {
@@ -47,7 +47,7 @@
             out.insert(service.clone(), active);
         }
         for (service, order) in orders {
-            let record = records.get(service).filter(|record| record.order == order.version);
+            let record = records.get(service).filter(|record| record.belongs_to(order));
             let phase = record.map_or(ShiftPhase::Exposing, |record| record.phase);
             let canary = self
                 .canaries
@@ -104,17 +104,26 @@
         true
     }
 
-    /// Returns the next record of a shift; `None` while none is due. `rank` is this VM's rank among the canaries.
+    /// Keeps the evidence about the shift of an order that is now stored under another version.
+    pub(super) fn carry_over(&mut self, service: &ServiceName, from: StoreVersion, to: StoreVersion) {
+        if let Some((version, _)) = self.canaries.get_mut(service).filter(|(version, _)| *version == from) {
+            *version = to;
+        }
+    }
+
+    /// Returns the next record of a shift; `None` while none is due. `rank` is this VM's rank among the canaries, and
+    /// `no_record` the version that stands for no record.
     pub(super) fn next_record(
         &self,
         service: &ServiceName,
         order: &ShiftOrder,
         record: Option<&ShiftRecord>,
         rank: usize,
+        no_record: StoreVersion,
         clock: Duration,
     ) -> Option<ShiftRecord> {
-        let current = record.filter(|record| record.order == order.version);
-        let version = record.map_or(0, |record| record.version);
+        let current = record.filter(|record| record.belongs_to(order));
+        let version = record.map_or(no_record, |record| record.version);
         let Some(current) = current else {
             return Some(ShiftRecord {
                 to: order.to.clone(),
@@ -122,6 +131,7 @@
                 started: clock,
                 phase: ShiftPhase::Exposing,
                 version,
+                written_in: record.map_or(Some(no_record.era), |record| record.written_in),
             });
         };
         let (_, canary) = self.canaries.get(service)?;
--- a/crates/mh_gateway/src/control/shift_writer.rs
+++ b/crates/mh_gateway/src/control/shift_writer.rs
@@ -29,10 +29,14 @@
         let Some(rank) = rank.filter(|rank| *rank < CANARY_VMS) else {
             continue;
         };
+        let Some(no_record) = deployment.no_record_version() else {
+            continue;
+        };
         let record = deployment.records.get(&service);
         let due = deployment
             .shift_controller
-            .next_record(&service, &order, record, rank, clock);
+            .next_record(&service, &order, record, rank, no_record, clock);
+        let due = due.or_else(|| record.filter(|_| deployment.is_record_outdated(&service)).cloned());
         if let Some(due) = due.filter(|due| node.claim_shift_write(&service, due.phase, now)) {
             emit!(
                 Event::ShiftDecided,
@@ -48,11 +52,22 @@
 }
 
 async fn write_record(node: Arc<GatewayNode>, service: ServiceName, record: ShiftRecord) {
-    let held = record.version;
-    match node.source.record_shift(&service, &record, held).await {
+    let held_era = record.version.era;
+    match node.source.record_shift(&service, &record).await {
         // The feed delivers the record to all VMs, including this one; applying it at once ends the exposure of a bad
         // version earlier.
-        Ok(WriteOutcome::Done(version)) => node.apply_own_record(&service, ShiftRecord { version, ..record }),
+        Ok(WriteOutcome::Done(version)) => {
+            node.relay.note_era(version.era);
+            let written = ShiftRecord {
+                version,
+                written_in: Some(version.era),
+                ..record
+            };
+            // After a restore the feed is read anew.
+            if version.era == held_era {
+                node.apply_own_record(&service, written);
+            }
+        }
         // Another VM wrote first; the feed delivers its record.
         Ok(WriteOutcome::Conflict) => {}
         Err(e) => emit!(
--- a/crates/mh_gateway/src/control/stale_vms.rs
+++ b/crates/mh_gateway/src/control/stale_vms.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::announce;
+use crate::AnnouncedVm;
 use crate::node::GatewayNode;
 
 /// Time for which a VM must be considered dead before its entry is removed. It is longer than a restart or a usual
@@ -51,8 +52,20 @@
     }
 }
 
-/// Removes the entries `due`, and registers this VM again if `should_announce` is set.
-pub(super) fn update_vm_list(node: &Arc<GatewayNode>, due: Vec<VmName>, should_announce: bool) {
+/// Removes the entries `due`, writes the entries `lost` again, and registers this VM again if `should_announce` is set.
+pub(super) fn update_vm_list(node: &Arc<GatewayNode>, due: Vec<VmName>, lost: Vec<AnnouncedVm>, should_announce: bool) {
+    for vm in lost {
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            if let Err(e) = node.source.announce(&vm).await {
+                emit!(
+                    Event::StoreWriteFailed,
+                    what = "list a VM again",
+                    error = e.current_context()
+                );
+            }
+        });
+    }
     for vm in due {
         let node = Arc::clone(node);
         tokio::spawn(async move {
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -53,5 +53,7 @@
 pub use service_backends::ServiceBackends;
 pub use settings::{BoundSettings, GatewayListen, GatewaySettings};
 pub use shift_phase::ShiftPhase;
-pub use source::{AnnouncedVm, Batch, Feed, RegisteredServer, ShiftOrder, ShiftRecord, Source, Update, WriteOutcome};
+pub use source::{
+    AnnouncedVm, Batch, ChangesRead, Feed, RegisteredServer, ShiftOrder, ShiftRecord, Source, Update, WriteOutcome,
+};
 pub use suspend_detector::SuspendDetector;
--- a/crates/mh_gateway/src/shift_phase.rs
+++ b/crates/mh_gateway/src/shift_phase.rs
@@ -15,6 +15,15 @@
 }
 
 impl ShiftPhase {
+    /// Returns how far a shift in this phase is; phases of the same number exclude each other.
+    pub(crate) fn progress(self) -> u8 {
+        match self {
+            Self::Exposing => 0,
+            Self::Switching => 1,
+            Self::Done | Self::TakenBack => 2,
+        }
+    }
+
     /// Returns whether no further phase follows.
     pub fn is_terminal(self) -> bool {
         matches!(self, Self::Done | Self::TakenBack)
--- a/crates/mh_gateway/src/source/registered_server.rs
+++ b/crates/mh_gateway/src/source/registered_server.rs
@@ -23,4 +23,6 @@
     pub cold_for: Duration,
     /// Start of its process; a restarted server with the same name is a new server.
     pub run: u64,
+    /// Number of the entry within the server's run; a later entry has a higher one.
+    pub sequence: u64,
 }
--- a/crates/mh_gateway/src/source/shift_order.rs
+++ b/crates/mh_gateway/src/source/shift_order.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use mh_types::VersionName;
+use mh_types::{StoreVersion, VersionName};
 use serde::{Deserialize, Serialize};
 
 /// An operator's order to move a service to a new version.
@@ -11,5 +11,5 @@
     /// Time by which the shift must have ended.
     pub duration: Duration,
     /// Version of the order in the store; a later order has a higher one.
-    pub version: u64,
+    pub version: StoreVersion,
 }
--- a/crates/mh_gateway/src/source/write_outcome.rs
+++ b/crates/mh_gateway/src/source/write_outcome.rs
@@ -1,8 +1,10 @@
+use mh_types::StoreVersion;
+
 /// Outcome of a conditional write that the store answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// The write succeeded and got this version.
-    Done(u64),
+    Done(StoreVersion),
     /// The stored version had changed.
     Conflict,
 }
--- a/crates/mh_gateway/tests/relay.rs
+++ b/crates/mh_gateway/tests/relay.rs
@@ -253,3 +253,72 @@
     wait_until(|| node.gateway().live().ready).await;
     assert_eq!(node.gateway().live().backends[fixtures::SERVICE].pool.slots(), 4);
 }
+
+/// Guards against VMs that take numbers which a restored store gives out again for versions that they hold: they miss
+/// changes, and never ask for them if other VMs read the store for them.
+#[tokio::test]
+async fn every_vm_follows_a_restored_store() {
+    for count in [SMALL_REGION_VMS, LARGE_REGION_VMS] {
+        let fleet = Fleet::start_with(count).await;
+        fleet.wait_for_revision(1).await;
+        fleet.wait_for_readers(2).await;
+        let copy = fleet.store.version();
+        for n in 0..40 {
+            fleet.store.put(Feed::Servers, fixtures::listed(&format!("s{n}"), "v1"));
+        }
+        fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
+        fleet.wait_for_revision(2).await;
+
+        fleet.store.restore(copy);
+        fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
+        fleet.store.put(Feed::Servers, fixtures::listed("again", "v1"));
+        fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(3).into()));
+
+        fleet.wait_for_revision(3).await;
+        // Servers that do not register again are gone.
+        wait_until(|| {
+            fleet.vms.iter().all(|vm| {
+                let live = vm.gateway().live();
+                let view = live.backends[fixtures::SERVICE].pool.view(tokio::time::Instant::now());
+                view.iter().map(|server| server.name.as_str()).eq(["again"])
+            })
+        })
+        .await;
+    }
+}
+
+/// Guards against VMs that fall out of look-ups and quotas because a restored store has lost their entries, and against
+/// VMs that are listed again after they have left.
+#[tokio::test]
+async fn the_vm_list_is_written_again_after_a_restore() {
+    let fleet = Fleet::start().await;
+    fleet.wait_for_revision(1).await;
+    wait_until(|| fleet.store.listed_vms().len() == SMALL_REGION_VMS).await;
+    let listed = fleet.store.listed_vms();
+    let left = settings(SMALL_REGION_VMS);
+    let left = AnnouncedVm {
+        vm: left.vm,
+        domain: left.domain,
+        region: left.region,
+        callers: left.listen.callers,
+        peers: left.listen.peers,
+    };
+    let copy_with_all = {
+        let name = left.vm.clone();
+        fleet.store.put(Feed::Vms, Update::Vm(name, Some(left.clone())));
+        fleet.store.version()
+    };
+    fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
+    fleet.wait_for_revision(2).await;
+    fleet.store.put(Feed::Vms, Update::Vm(left.vm.clone(), None));
+    fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(3).into()));
+    fleet.wait_for_revision(3).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    fleet.store.restore(copy_with_all);
+    wait_until(|| fleet.store.listed_vms() == listed).await;
+    fleet.store.restore(1);
+    assert!(fleet.store.listed_vms().is_empty());
+
+    wait_until(|| fleet.store.listed_vms() == listed).await;
+}
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use mh_gateway::{AnnouncedVm, Batch, Feed, ShiftRecord, Source, Update, WriteOutcome};
+use mh_gateway::{AnnouncedVm, Batch, ChangesRead, Feed, ShiftRecord, Source, Update, WriteOutcome};
 use mh_platform::{BoxFuture, PlatformError, Result};
-use mh_types::{Code, ServiceName, VmName};
+use mh_types::{Code, ServiceName, StoreVersion, VmName};
 use tokio::sync::watch;
 
 #[derive(Default)]
 struct State {
+    /// Number of restores so far.
+    era: u64,
     version: u64,
     /// All updates with their versions, in order.
     updates: Vec<(Feed, u64, Update)>,
@@ -62,6 +64,36 @@
         self.changed.send_replace(version);
     }
 
+    /// Returns the number of the newest version.
+    pub fn version(&self) -> u64 {
+        self.with_state(|state| state.version)
+    }
+
+    /// Restores the store to its state at `version`, whose numbers are given out again in a new era.
+    pub fn restore(&self, version: u64) {
+        self.with_state(|state| {
+            state.era += 1;
+            state.version = version;
+            state.updates.retain(|(_, written_at, _)| *written_at <= version);
+        });
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Returns the VMs that the store lists.
+    pub fn listed_vms(&self) -> HashSet<VmName> {
+        self.with_state(|state| {
+            let mut listed = HashSet::new();
+            for (_, _, update) in &state.updates {
+                match update {
+                    Update::Vm(vm, Some(_)) => drop(listed.insert(vm.clone())),
+                    Update::Vm(vm, None) => drop(listed.remove(vm)),
+                    _ => {}
+                }
+            }
+            listed
+        })
+    }
+
     /// Refuses every call of `vm` from now on.
     pub fn refuse(&self, vm: &VmName) {
         self.with_state(|state| state.refused.insert(vm.clone()));
@@ -94,10 +126,13 @@
         Ok(())
     }
 
-    fn since(&self, feed: Feed, after: u64) -> Result<Batch> {
+    fn since(&self, feed: Feed, after: StoreVersion) -> Result<ChangesRead> {
         self.store.with_state(|state| {
             self.check(state)?;
-            Ok(batch(state, feed, after))
+            if after.era != state.era || after.number > state.version {
+                return Ok(ChangesRead::HistoryLost { era: state.era });
+            }
+            Ok(ChangesRead::Changes(batch(state, feed, after.number)))
         })
     }
 }
@@ -108,8 +143,11 @@
         .filter(|(update_feed, version, _)| *update_feed == feed && *version > after)
         .collect();
     Batch {
-        version: state.version,
-        last_changed_version: updates.iter().map(|(_, version, _)| *version).max().unwrap_or_default(),
+        version: StoreVersion::new(state.era, state.version),
+        last_changed_version: StoreVersion::new(
+            state.era,
+            updates.iter().map(|update| update.1).max().unwrap_or_default(),
+        ),
         clock: Duration::from_secs(1),
         updates: updates.into_iter().map(|(_, _, update)| update.clone()).collect(),
     }
@@ -120,15 +158,16 @@
         Box::pin(async move { self.call(|state| batch(state, feed, 0)) })
     }
 
-    fn changes(&self, feed: Feed, version: u64, wait: Duration) -> BoxFuture<'_, Result<Option<Batch>>> {
+    fn changes(&self, feed: Feed, version: StoreVersion, wait: Duration) -> BoxFuture<'_, Result<ChangesRead>> {
         Box::pin(async move {
             let mut changed = self.store.changed.subscribe();
             self.call(|_| ())?;
             let end = tokio::time::Instant::now() + wait;
             loop {
-                let batch_read = self.since(feed, version)?;
-                if !batch_read.updates.is_empty() || tokio::time::timeout_at(end, changed.changed()).await.is_err() {
-                    return Ok(Some(batch_read));
+                let read = self.since(feed, version)?;
+                let is_empty = matches!(&read, ChangesRead::Changes(batch) if batch.updates.is_empty());
+                if !is_empty || tokio::time::timeout_at(end, changed.changed()).await.is_err() {
+                    return Ok(read);
                 }
             }
         })
@@ -154,7 +193,6 @@
         &'a self,
         _service: &'a ServiceName,
         _record: &'a ShiftRecord,
-        _expected_version: u64,
     ) -> BoxFuture<'a, Result<WriteOutcome>> {
         Box::pin(async move { Ok(WriteOutcome::Conflict) })
     }
--- a/crates/mh_gateway/tests/unit/feed_states.rs
+++ b/crates/mh_gateway/tests/unit/feed_states.rs
@@ -7,10 +7,15 @@
 use super::*;
 use crate::{CallerLimits, Plan};
 
+/// Returns the version with this number in the first era.
+fn at(number: u64) -> StoreVersion {
+    StoreVersion::new(0, number)
+}
+
 fn batch(version: u64, last_changed_version: u64, domains: &[&str]) -> Batch {
     Batch {
-        version,
-        last_changed_version,
+        version: at(version),
+        last_changed_version: at(last_changed_version),
         clock: Duration::ZERO,
         updates: domains
             .iter()
@@ -31,7 +36,10 @@
 fn report(held: u64, changed: u64) -> ReaderReport {
     ReaderReport {
         clock: Duration::ZERO,
-        feeds: [FeedVersions { held, changed }; Feed::ALL.len()],
+        feeds: [FeedVersions {
+            held: at(held),
+            changed: at(changed),
+        }; Feed::ALL.len()],
         register_down: None,
         changes: None,
         plan_change: None,
@@ -52,7 +60,7 @@
         matches!(snapshot_outcome, AcceptOutcome::Unchanged),
         "{snapshot_outcome:?}"
     );
-    assert_eq!(states.versions(Feed::Settings).unwrap().changed, 12);
+    assert_eq!(states.versions(Feed::Settings).unwrap().changed, at(12));
 }
 
 /// Guards against rebuilding the request state twice for a change that both readers report.
@@ -66,7 +74,10 @@
     assert!(matches!(outcome, AcceptOutcome::Unchanged), "{outcome:?}");
     assert_eq!(
         states.versions(Feed::Settings),
-        Some(FeedVersions { held: 15, changed: 12 })
+        Some(FeedVersions {
+            held: at(15),
+            changed: at(12)
+        })
     );
 }
 
@@ -76,9 +87,9 @@
     let mut states = states();
 
     assert!(states.compare(&report(14, 10), Instant::now()).is_empty());
-    assert_eq!(states.versions(Feed::Servers).unwrap().held, 14);
+    assert_eq!(states.versions(Feed::Servers).unwrap().held, at(14));
     assert_eq!(states.compare(&report(16, 15), Instant::now()), Vec::from(Feed::ALL));
-    assert_eq!(states.versions(Feed::Servers).unwrap().held, 14);
+    assert_eq!(states.versions(Feed::Servers).unwrap().held, at(14));
 }
 
 /// Guards against outdated reports from a VM whose own calls to the store fail.
@@ -99,9 +110,9 @@
     states.accept(Feed::Settings, &batch(12, 12, &["a"]), false, Instant::now());
     states.accept(Feed::Settings, &batch(14, 14, &["b"]), false, Instant::now());
 
-    assert_eq!(states.since(Feed::Settings, 10).unwrap().len(), 2);
-    assert_eq!(states.since(Feed::Settings, 13).unwrap().len(), 1);
-    assert!(states.since(Feed::Settings, 9).is_none());
+    assert_eq!(states.since(Feed::Settings, at(10)).unwrap().len(), 2);
+    assert_eq!(states.since(Feed::Settings, at(13)).unwrap().len(), 1);
+    assert!(states.since(Feed::Settings, at(9)).is_none());
 }
 
 /// Guards against sending every plan of a series to each VM of a region. Five plans at once saturate the reader's
@@ -122,10 +133,64 @@
         states.accept(Feed::Settings, &read, false, Instant::now());
     }
 
-    let updates = states.since(Feed::Settings, 10).unwrap();
+    let updates = states.since(Feed::Settings, at(10)).unwrap();
 
     assert!(
         matches!(&updates[..], [Update::Drained(..), Update::Plan(plan)] if plan.revision.0 == 15),
         "{updates:?}"
     );
 }
+
+/// Returns a batch of the era after the first restore of the store.
+fn restored_batch(number: u64, domains: &[&str]) -> Batch {
+    Batch {
+        version: StoreVersion::new(1, number),
+        last_changed_version: StoreVersion::new(1, number),
+        ..batch(0, 0, domains)
+    }
+}
+
+/// Guards against a VM that ignores the restored store until its numbers have passed those from before.
+#[test]
+fn a_full_read_of_a_later_era_is_accepted_with_a_lower_number() {
+    let mut states = states();
+
+    let outcome = states.accept(Feed::Settings, &restored_batch(4, &["a"]), true, Instant::now());
+
+    assert!(matches!(outcome, AcceptOutcome::Snapshot), "{outcome:?}");
+    assert_eq!(states.versions(Feed::Settings).unwrap().held, StoreVersion::new(1, 4));
+}
+
+/// Guards against changes of the restored store that are applied to the state from before, and against late answers
+/// from before that are applied to the restored state.
+#[test]
+fn changes_of_another_era_are_not_applied() {
+    let mut states = states();
+
+    let outcome = states.accept(Feed::Settings, &restored_batch(12, &["a"]), false, Instant::now());
+    assert!(matches!(outcome, AcceptOutcome::Unchanged), "{outcome:?}");
+    let late = states.accept(Feed::Servers, &batch(30, 30, &["b"]), false, Instant::now());
+    let late_snapshot = states.accept(Feed::Servers, &batch(30, 30, &["b"]), true, Instant::now());
+
+    assert!(matches!(late, AcceptOutcome::Unchanged), "{late:?}");
+    assert!(matches!(late_snapshot, AcceptOutcome::Unchanged), "{late_snapshot:?}");
+}
+
+/// Guards against a VM that never contacts the store itself and counts as up to date in the restored store, because it
+/// holds a higher number from before.
+#[test]
+fn a_report_of_a_later_era_shows_that_everything_is_missing() {
+    let mut states = states();
+    let versions = FeedVersions {
+        held: StoreVersion::new(1, 6),
+        changed: StoreVersion::new(1, 5),
+    };
+    let report = ReaderReport {
+        feeds: [versions; Feed::ALL.len()],
+        ..report(0, 0)
+    };
+
+    assert_eq!(states.compare(&report, Instant::now()), Vec::from(Feed::ALL));
+    assert!(states.reportable_versions().is_none());
+    assert_eq!(states.versions(Feed::Settings).unwrap().held, at(10));
+}
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -6,16 +6,16 @@
 use mh_budget::{Ask, Body, Loan, Msg as LendMsg, Return, Share};
 use mh_config::KeyHash;
 use mh_platform::BoxFuture;
-use mh_types::{Code, Incarnation, Revision, ServerName, ServiceName};
+use mh_types::{Code, Incarnation, Revision, ServerName, ServiceName, StoreVersion};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use super::*;
 use crate::control::reader_report::{Changes, FeedVersions, ReaderReport};
 use crate::{
-    Batch, BoundSettings, CallerLimits, GatewayListen, GatewaySettings, HeaderNames, HostRoute, Interface, LookupQuery,
-    Plan, PlanOrg, PlanService, RegisteredServer, RequestKind, ShiftOrder, ShiftPhase, ShiftRecord, Source, Target,
-    Update, WriteOutcome,
+    Batch, BoundSettings, CallerLimits, ChangesRead, GatewayListen, GatewaySettings, HeaderNames, HostRoute, Interface,
+    LookupQuery, Plan, PlanOrg, PlanService, RegisteredServer, RequestKind, ShiftOrder, ShiftPhase, ShiftRecord,
+    Source, Target, Update, WriteOutcome,
 };
 
 /// Number of mutated messages; `FUZZ_CASES` overrides it.
@@ -59,7 +59,7 @@
         Box::pin(std::future::ready(Ok(batch(10, updates))))
     }
 
-    fn changes(&self, _: Feed, _: u64, _: Duration) -> BoxFuture<'_, mh_platform::Result<Option<Batch>>> {
+    fn changes(&self, _: Feed, _: StoreVersion, _: Duration) -> BoxFuture<'_, mh_platform::Result<ChangesRead>> {
         Box::pin(std::future::pending())
     }
 
@@ -75,7 +75,6 @@
         &'a self,
         _: &'a ServiceName,
         _: &'a ShiftRecord,
-        _: u64,
     ) -> BoxFuture<'a, mh_platform::Result<WriteOutcome>> {
         Box::pin(std::future::ready(Ok(WriteOutcome::Conflict)))
     }
@@ -83,8 +82,8 @@
 
 fn batch(version: u64, updates: Vec<Update>) -> Batch {
     Batch {
-        version,
-        last_changed_version: version,
+        version: StoreVersion::new(0, version),
+        last_changed_version: StoreVersion::new(0, version),
         clock: Duration::from_secs(5),
         updates,
     }
@@ -110,6 +109,7 @@
         leaving: false,
         cold_for,
         run: 1,
+        sequence: 1,
     }
 }
 
@@ -202,31 +202,32 @@
 }
 
 fn reader_report(number: u64, time: Duration, changes: Option<Changes>) -> Datagram {
-    Datagram::News(ReaderReport {
+    Datagram::News(Box::new(ReaderReport {
         clock: time,
         feeds: [FeedVersions {
-            held: number,
-            changed: number,
+            held: StoreVersion::new(number, number),
+            changed: StoreVersion::new(number, number),
         }; Feed::ALL.len()],
         register_down: Some(time),
         changes,
         plan_change: None,
-    })
+    }))
 }
 
 /// Returns messages of every kind with the given numbers and times.
 fn messages(number: u64, time: Duration) -> Vec<Datagram> {
     let record = ShiftRecord {
         to: "v2".into(),
-        order: number,
+        order: StoreVersion::new(number, number),
         started: time,
         phase: ShiftPhase::Exposing,
-        version: number,
+        version: StoreVersion::new(number, number),
+        written_in: Some(number),
     };
     let order = ShiftOrder {
         to: "v2".into(),
         duration: time,
-        version: number,
+        version: StoreVersion::new(number, number),
     };
     let float = f64::from_bits(number.rotate_left(52));
     let updates: [(Feed, Vec<Update>); 4] = [
@@ -251,7 +252,7 @@
     let mut out: Vec<Datagram> = updates
         .into_iter()
         .map(|(feed, updates)| {
-            let after = 0;
+            let after = StoreVersion::ZERO;
             reader_report(number, time, Some(Changes { feed, after, updates }))
         })
         .collect();
--- a/crates/mh_gateway/tests/unit/shift_controller.rs
+++ b/crates/mh_gateway/tests/unit/shift_controller.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mh_shift::Verdict;
+use mh_types::StoreVersion;
 
 use super::{ShiftController, next_phase};
 use crate::{ShiftOrder, ShiftPhase, ShiftRecord};
@@ -13,17 +14,18 @@
     ShiftOrder {
         to: "v2".into(),
         duration: SECOND * 16,
-        version: 5,
+        version: StoreVersion::new(0, 5),
     }
 }
 
 fn record(phase: ShiftPhase) -> ShiftRecord {
     ShiftRecord {
         to: "v2".into(),
-        order: 5,
+        order: StoreVersion::new(0, 5),
         started: SECOND * 100,
         phase,
-        version: 9,
+        version: StoreVersion::new(0, 9),
+        written_in: Some(0),
     }
 }
 
@@ -90,14 +92,28 @@
 /// Guards against applying the record of the previous order to a new order.
 #[test]
 fn a_new_order_starts_a_new_record() {
-    let newer = ShiftOrder { version: 6, ..order() };
+    let newer = ShiftOrder {
+        version: StoreVersion::new(0, 6),
+        ..order()
+    };
 
-    let due =
-        ShiftController::default().next_record(&"s".into(), &newer, Some(&record(ShiftPhase::Done)), 0, SECOND * 200);
+    let due = ShiftController::default().next_record(
+        &"s".into(),
+        &newer,
+        Some(&record(ShiftPhase::Done)),
+        0,
+        StoreVersion::ZERO,
+        SECOND * 200,
+    );
 
     let due = due.expect("a record is due");
     assert_eq!(
         (due.phase, due.order, due.version, due.started),
-        (ShiftPhase::Exposing, 6, 9, SECOND * 200)
+        (
+            ShiftPhase::Exposing,
+            newer.version,
+            StoreVersion::new(0, 9),
+            SECOND * 200
+        )
     );
 }
--- a/crates/mh_platform/src/http/client.rs
+++ b/crates/mh_platform/src/http/client.rs
@@ -5,7 +5,7 @@
 use error_stack::{Report, ResultExt};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::CONTENT_TYPE;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::client::legacy::Client as HyperClient;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -42,6 +42,8 @@
 pub struct HttpResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// Response headers.
+    pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
 }
@@ -159,13 +161,14 @@
         let response = tokio::time::timeout(timeout, exchange)
             .await
             .map_err(|_| timeout_error(failure_code, timeout))??;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.max_response_bytes).collect();
+        let (head, body) = response.into_parts();
+        let (status, headers) = (head.status, head.headers);
+        let body = Limited::new(body, self.max_response_bytes).collect();
         let body = tokio::time::timeout(self.timeout, body)
             .await
             .map_err(|_| timeout_error(failure_code, self.timeout))?;
         let body = body.map_err(|e| Report::new(error).attach(e.to_string()))?.to_bytes();
-        Ok(HttpResponse { status, body })
+        Ok(HttpResponse { status, headers, body })
     }
 }
 
--- a/crates/mh_relay/src/change_log.rs
+++ b/crates/mh_relay/src/change_log.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
+use mh_types::StoreVersion;
+
 /// Maximum number of keys in the log. A VM that missed more changes receives the complete state.
 const MAX_KEYS: usize = 4096;
 
@@ -10,7 +12,7 @@
 #[derive(Debug)]
 pub struct ChangeLog<K, U> {
     /// The log is complete for changes after this version.
-    base_version: u64,
+    base_version: StoreVersion,
     latest: HashMap<K, Change<U>>,
     /// Sequence number of the next change, which orders changes of the same version.
     next_sequence: u64,
@@ -18,7 +20,7 @@
 
 #[derive(Debug)]
 struct Change<U> {
-    version: u64,
+    version: StoreVersion,
     sequence: u64,
     update: U,
 }
@@ -26,7 +28,7 @@
 impl<K, U> Default for ChangeLog<K, U> {
     fn default() -> Self {
         Self {
-            base_version: 0,
+            base_version: StoreVersion::ZERO,
             latest: HashMap::new(),
             next_sequence: 0,
         }
@@ -35,13 +37,13 @@
 
 impl<K: Clone + Eq + Hash, U: Clone> ChangeLog<K, U> {
     /// Clears the log, for example after a read of the complete state at `version`.
-    pub fn reset(&mut self, version: u64) {
+    pub fn reset(&mut self, version: StoreVersion) {
         self.base_version = version;
         self.latest.clear();
     }
 
     /// Adds changes at `version`, which must be higher than the versions of all earlier changes.
-    pub fn push(&mut self, version: u64, changes: impl IntoIterator<Item = (K, U)>) {
+    pub fn push(&mut self, version: StoreVersion, changes: impl IntoIterator<Item = (K, U)>) {
         for (key, update) in changes {
             let sequence = self.next_sequence;
             self.next_sequence += 1;
@@ -59,7 +61,7 @@
 
     /// Returns the latest change of each key that changed after `version`, in order. Returns `None` if some of them are
     /// no longer in the log.
-    pub fn since(&self, version: u64) -> Option<Vec<U>> {
+    pub fn since(&self, version: StoreVersion) -> Option<Vec<U>> {
         if version < self.base_version {
             return None;
         }
@@ -70,7 +72,7 @@
 
     /// Drops the older half of the changes, so that a full log is not sorted on every push.
     fn drop_oldest(&mut self) {
-        let mut versions: Vec<u64> = self.latest.values().map(|change| change.version).collect();
+        let mut versions: Vec<StoreVersion> = self.latest.values().map(|change| change.version).collect();
         versions.sort_unstable();
         self.base_version = versions[versions.len() / 2];
         let base_version = self.base_version;
--- a/crates/mh_relay/tests/change_log.rs
+++ b/crates/mh_relay/tests/change_log.rs
@@ -3,20 +3,38 @@
 use std::collections::HashMap;
 
 use mh_relay::ChangeLog;
+use mh_types::StoreVersion;
 use proptest::prelude::*;
 
+/// Returns the version with this number in the first era.
+fn at(number: u64) -> StoreVersion {
+    StoreVersion::new(0, number)
+}
+
 /// Guards against losing changes between a VM's version and the newest one.
 #[test]
 fn since_returns_later_changes_in_order() {
     let mut log = ChangeLog::default();
-    log.reset(10);
-    log.push(12, [("x", "a")]);
-    log.push(17, [("y", "b"), ("z", "c")]);
-
-    assert_eq!(log.since(10), Some(vec!["a", "b", "c"]));
-    assert_eq!(log.since(12), Some(vec!["b", "c"]));
-    assert_eq!(log.since(17), Some(vec![]));
-    assert_eq!(log.since(9), None);
+    log.reset(at(10));
+    log.push(at(12), [("x", "a")]);
+    log.push(at(17), [("y", "b"), ("z", "c")]);
+
+    assert_eq!(log.since(at(10)), Some(vec!["a", "b", "c"]));
+    assert_eq!(log.since(at(12)), Some(vec!["b", "c"]));
+    assert_eq!(log.since(at(17)), Some(vec![]));
+    assert_eq!(log.since(at(9)), None);
+}
+
+/// Guards against changes that a VM takes for the ones it misses, although the store gave their numbers out again.
+#[test]
+fn versions_of_an_earlier_era_are_not_continued() {
+    let mut log = ChangeLog::default();
+    log.reset(StoreVersion::new(1, 10));
+    log.push(StoreVersion::new(1, 12), [("x", "a")]);
+
+    assert_eq!(log.since(at(11)), None);
+    assert_eq!(log.since(at(500)), None);
+    assert_eq!(log.since(StoreVersion::new(1, 11)), Some(vec!["a"]));
 }
 
 /// Guards against a log that keeps every plan in memory: 1,400 plans a day of up to 100 KB each would take up to
@@ -25,10 +43,10 @@
 fn later_change_replaces_earlier_one_of_same_key() {
     let mut log = ChangeLog::default();
     for version in 1..2000 {
-        log.push(version, [("plan", version)]);
+        log.push(at(version), [("plan", version)]);
     }
 
-    assert_eq!(log.since(0), Some(vec![1999]));
+    assert_eq!(log.since(at(0)), Some(vec![1999]));
 }
 
 proptest! {
@@ -50,10 +68,10 @@
             if version <= from {
                 stale.clone_from(&complete);
             }
-            log.push(version, changes);
+            log.push(at(version), changes);
         }
 
-        if let Some(updates) = log.since(from) {
+        if let Some(updates) = log.since(at(from)) {
             stale.extend(updates.into_iter().map(|update| (update.0, update)));
             prop_assert_eq!(stale, complete);
         } else {
--- a/crates/mh_types/src/lib.rs
+++ b/crates/mh_types/src/lib.rs
@@ -18,6 +18,7 @@
 mod name;
 mod revision;
 mod run;
+mod store_version;
 
 #[doc(hidden)]
 pub use log;
@@ -31,11 +32,12 @@
 };
 pub use revision::Revision;
 pub use run::Run;
+pub use store_version::StoreVersion;
 
 /// The types that most callers need.
 pub mod prelude {
     pub use crate::{
         Code, DomainName, Event, Incarnation, OrgName, RegionName, Revision, RouteName, Run, ServerName, ServiceName,
-        ShiftName, TeamName, VersionName, VmName,
+        ShiftName, StoreVersion, TeamName, VersionName, VmName,
     };
 }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -167,6 +167,7 @@
                 self.servers[server] = self.new_server(service, domain).await;
             }
             Step::StoreOutage(fault) => self.store.set_outage(fault),
+            Step::RestoreStore(age) => self.restore_store(age),
             Step::Configure => self.configure(),
             Step::Drain(domain, true) => {
                 self.store
@@ -179,6 +180,18 @@
         }
     }
 
+    /// Restores the store from an older copy. Operators and servers write their lost rows again before the next step; what
+    /// the VMs wrote stays lost.
+    fn restore_store(&self, age: Duration) {
+        for (table, key, value) in self.store.restore(age) {
+            match value {
+                _ if table != OPERATOR_TABLE && table != SERVER_TABLE => {}
+                Some(value) => self.store.put(&table, &key, &value),
+                None => self.store.remove(&table, &key),
+            }
+        }
+    }
+
     fn signal(&self, vm: usize, send: impl Fn(&Process) -> std::io::Result<()>) {
         if let Some(process) = &self.vms[vm].process {
             send(process).expect("signals can be sent");
--- a/tests/soak/step.rs
+++ b/tests/soak/step.rs
@@ -47,6 +47,8 @@
     ReplaceServer(usize),
     /// Starts an outage of the store, or ends it.
     StoreOutage(Option<Fault>),
+    /// Restores the store from a copy of this age; operators and servers then write again what was lost.
+    RestoreStore(Duration),
     /// Publishes a new configuration, which withdraws a key and grants another.
     Configure,
     /// Starts or ends the drain of a failure domain.
@@ -109,9 +111,29 @@
         steps.extend(all);
     }
     steps.extend(random_limits(rng, servers));
+    steps.extend(random_restores(rng));
     sorted_by_time(steps)
 }
 
+/// Restores of the store from copies of any age, in one phase in two; each follows a short or long outage.
+fn random_restores(rng: &mut StdRng) -> Vec<TimedStep> {
+    let mut steps = Vec::new();
+    if rng.random() {
+        return steps;
+    }
+    for _ in 0..rng.random_range(1..4) {
+        let at = Duration::from_millis(rng.random_range(500..5000));
+        let back_at = at + Duration::from_millis(rng.random_range(20..2500));
+        let age = Duration::from_millis(rng.random_range(50..6000));
+        steps.extend([
+            (at, Step::StoreOutage(Some(random_store_fault(rng)))),
+            (back_at, Step::RestoreStore(age)),
+            (back_at, Step::StoreOutage(None)),
+        ]);
+    }
+    steps
+}
+
 /// Limits that servers state, change and take back, some of which cannot be read; in one phase in three, all servers state
 /// one at once.
 fn random_limits(rng: &mut StdRng, servers: usize) -> Vec<TimedStep> {
