Quarantine requests that crash the servers that run them

Cause: a loss was handled as a fault of the server alone. No VM remembered which request was lost, and none told the others. Class: evidence about a request that is spread over VMs and servers and that nobody adds up.

New crate mh_poison: requests lost when a server goes down are counted by fingerprint (method, host, target, organisation, body) at three VMs that follow from it; three crashes of different server runs without an answer in between begin a quarantine that all VMs are told. Quarantined requests are refused at once as not run (code 1024). If earlier crashes point to one of the requests lost together, only that one is held responsible; an answer clears a request on all VMs. A loss counts as a crash only if the server refuses a new connection, so lost answers and resets count for nothing. Records are bounded and end.

--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -81,6 +81,8 @@
         /// Whether the request was admitted, and what is left of the share.
         answer: Answer,
     },
+    /// Requests that crash servers.
+    Crashes(mh_poison::Msg),
     /// Limits that servers stated.
     Limits(mh_limit::Msg),
     /// Asks the receiver to admit one request to a server with a limit.
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -83,6 +83,10 @@
             }
         }
         Datagram::Taken { number, answer } => node.pending_token_requests.complete(number, answer),
+        Datagram::Crashes(msg) => {
+            let out = node.gateway.poison().on_msg(msg);
+            node.send_crash_msgs(out);
+        }
         Datagram::Limits(msg) => node.on_limit_msg(from, msg),
         Datagram::LimitAsk { number, ask } => node.on_limit_ask(from, number, &ask, now),
         Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
@@ -101,6 +105,11 @@
     let out = lock(&node.quotas).on_tick(now);
     node.send_lending(out);
     node.tick_limits(now);
+    let out = node.gateway.poison().with(|guard, _| {
+        guard.set_vms(alive);
+        guard.on_tick(now, rand::random())
+    });
+    node.send_crash_msgs(out);
 }
 
 /// Passes the VM list to the membership protocol and applies its view; returns the live VMs and the number of VMs that
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod bounds;
 mod control;
+mod crash_peers;
 mod header_names;
 mod interface;
 mod limit_peers;
@@ -41,6 +42,7 @@
 
 pub use bounds::Bounds;
 pub use control::DeploymentState;
+pub use crash_peers::CrashPeers;
 pub use header_names::HeaderNames;
 pub use interface::{Interface, LookupQuery};
 pub use limit_peers::LimitPeers;
@@ -49,7 +51,7 @@
 pub use node::{GatewayNode, StopOutcome, run_until_signal};
 pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, UnreadableParts};
 pub use quota_peers::QuotaPeers;
-pub use request::{Counters, Gateway, LimitGate};
+pub use request::{Counters, Gateway, LimitGate, PoisonGate};
 pub use service_backends::ServiceBackends;
 pub use settings::{BoundSettings, GatewayListen, GatewaySettings};
 pub use shift_phase::ShiftPhase;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::membership::new_membership;
-use super::node_peers::{NodeLimitPeers, NodeQuotaPeers};
+use super::node_peers::{NodeCrashPeers, NodeLimitPeers, NodeQuotaPeers};
 use super::pending_replies::PendingReplies;
 use super::ports;
 use super::supervise::supervise;
@@ -134,6 +134,8 @@
             .set_quota_peers(Arc::new(NodeQuotaPeers(Arc::downgrade(&node))));
         let limit_peers = NodeLimitPeers(Arc::downgrade(&node));
         node.gateway.limits().set_peers(Arc::new(limit_peers));
+        let crash_peers = NodeCrashPeers(Arc::downgrade(&node));
+        node.gateway.poison().set_peers(Arc::new(crash_peers));
         let metrics = super::metrics::new_metrics(&node).map_err(|e| (Code::Internal, e.to_string()))?;
         node.gateway.counters().set_timings(Timings::new(&metrics));
         let _ = node.metrics.set(metrics);
--- a/crates/mh_gateway/src/node/node_peers.rs
+++ b/crates/mh_gateway/src/node/node_peers.rs
@@ -4,11 +4,12 @@
 use mh_budget::Answer;
 use mh_limit::{Ask, Reply};
 use mh_platform::BoxFuture;
+use mh_poison::Outbox;
 use mh_types::{OrgName, VmName};
 
 use super::GatewayNode;
 use crate::control::Datagram;
-use crate::{LimitPeers, QuotaPeers};
+use crate::{CrashPeers, LimitPeers, QuotaPeers};
 
 /// Longest wait for the reply of another VM: a round trip between regions and a margin.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(80);
@@ -33,7 +34,28 @@
     }
 }
 
+/// Sends reports of crashes to other VMs through the node's socket.
+#[derive(Debug)]
+pub(super) struct NodeCrashPeers(pub(super) Weak<GatewayNode>);
+
+impl CrashPeers for NodeCrashPeers {
+    fn send(&self, out: Outbox) {
+        if let Some(node) = self.0.upgrade() {
+            node.send_crash_msgs(out);
+        }
+    }
+}
+
 impl GatewayNode {
+    /// Sends messages about requests that crash servers.
+    pub(crate) fn send_crash_msgs(&self, out: Outbox) {
+        for (vm, msg) in out {
+            if let Some(addr) = self.peer_addr(&vm) {
+                self.send_to(addr, &Datagram::Crashes(msg));
+            }
+        }
+    }
+
     /// Requests one token of a quota from another VM's share; `None` after [`REPLY_TIMEOUT`].
     async fn ask_quota(&self, vm: &VmName, org: &OrgName) -> Option<Answer> {
         let addr = self.peer_addr(vm)?;
--- a/crates/mh_gateway/src/request/body.rs
+++ b/crates/mh_gateway/src/request/body.rs
@@ -4,6 +4,7 @@
 use hyper::body::{Body as _, Incoming};
 use mh_edge::{Refusal, Upload, UploadProgress, drain, read_body};
 use mh_types::{Code, Run};
+use siphasher::sip128::SipHasher13;
 use tokio::time::Instant;
 
 use super::buffer_budget::BufferBudget;
@@ -68,6 +69,14 @@
         }
     }
 
+    /// Returns a hash of a body that is in memory.
+    pub(super) fn digest(&self) -> Option<[u8; 16]> {
+        match self {
+            Self::Buffered(bytes) => Some(SipHasher13::new().hash(bytes).as_bytes()),
+            Self::Streamed(..) => None,
+        }
+    }
+
     /// Returns whether the body can be sent now.
     pub(super) fn is_sendable(&self) -> bool {
         match self {
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -105,6 +105,9 @@
             } else {
                 outcome
             };
+            if outcome == Outcome::Failed && failure.run() == Run::Unknown {
+                cx.record_loss(&placement);
+            }
             Err(end_attempt(cx, placement, outcome, failure))
         }
     }
@@ -223,6 +226,7 @@
     let buffered = match read_body(body, &cx.buffer_budget, cx.answer_by()).await {
         Ok(buffered) => buffered,
         Err(ReadError::Truncated) => {
+            cx.record_loss(&placement);
             return Err(end_attempt(
                 cx,
                 placement,
@@ -239,6 +243,7 @@
             ));
         }
     };
+    cx.record_answer();
     strip_hop_by_hop(&mut head.headers);
     head.version = Version::HTTP_11;
     let is_failure = head.status.is_server_error();
--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -106,6 +106,7 @@
     let is_repeatable = cx.route.kind.may_repeat() || !history.may_have_run;
     let unreachable = history.tried.len() - history.sent as usize;
     let allowed = is_repeatable
+        && cx.may_retry()
         && body.is_sendable()
         && history.sent < cx.route.max_attempts.max(1)
         && unreachable < MAX_UNREACHABLE_SERVERS
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -10,6 +10,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response};
 use mh_edge::{Refusal, ResponseBody, admit_request, drain, total_bytes};
+use mh_poison::Fingerprint;
 use mh_types::{Code, Event, Run, VmName, emit};
 use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
@@ -21,6 +22,7 @@
 use super::forward::forward;
 use super::limit_gate::LimitGate;
 use super::outgoing::forwarded_head;
+use super::poison_gate::PoisonGate;
 use super::request_context::RequestContext;
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
 
@@ -49,6 +51,7 @@
     closed: AtomicBool,
     quota_peers: OnceLock<Arc<dyn QuotaPeers>>,
     limits: Arc<LimitGate>,
+    poison: Arc<PoisonGate>,
 }
 
 impl Gateway {
@@ -56,6 +59,7 @@
     pub fn new(vm: VmName, headers: HeaderNames, bounds: Bounds) -> Self {
         Self {
             limits: Arc::new(LimitGate::new(vm.clone())),
+            poison: Arc::new(PoisonGate::new(vm.clone())),
             vm,
             headers: Arc::new(headers),
             bounds: ArcSwap::from_pointee(bounds),
@@ -93,6 +97,11 @@
         &self.limits
     }
 
+    /// Returns the requests that crash servers.
+    pub fn poison(&self) -> &Arc<PoisonGate> {
+        &self.poison
+    }
+
     /// Returns the name of this VM.
     pub fn vm(&self) -> &VmName {
         &self.vm
@@ -218,6 +227,13 @@
             cx.answer_by(),
         )
         .await?;
+        cx.fingerprint = fingerprint(&cx, &parts, &body);
+        if let Some(Err(quarantined)) = cx.fingerprint.map(|fingerprint| self.poison.admit(&fingerprint)) {
+            return Err(refusal_with_retry_after(
+                Code::RequestQuarantined,
+                quarantined.retry_after,
+            ));
+        }
         let head = forwarded_head(parts, &self.headers, cx.org.as_ref().map(|org| org.name.as_str()));
         let result = forward(&mut cx, &self.live, &head, &mut body, &self.counters).await;
         result.map_err(|mut refusal| {
@@ -325,6 +341,8 @@
             max_body_bytes: plan.limits.max_body_bytes,
             buffer_budget: self.buffer_budget.clone(),
             limits: Arc::clone(&self.limits),
+            poison: Arc::clone(&self.poison),
+            fingerprint: None,
             headers: Arc::clone(&self.headers),
             route,
             org,
@@ -332,6 +350,20 @@
     }
 }
 
+/// Computes what identifies requests with the same contents from the same caller; `None` if the body is passed on as it
+/// arrives.
+fn fingerprint(cx: &RequestContext, parts: &Parts, body: &Body) -> Option<Fingerprint> {
+    let caller = cx.org.as_ref().map_or("", |org| org.name.as_str());
+    let target = parts.uri.path_and_query().map_or("", |target| target.as_str());
+    Some(Fingerprint::of(&[
+        parts.method.as_str().as_bytes(),
+        cx.route.host.as_bytes(),
+        target.as_bytes(),
+        caller.as_bytes(),
+        &body.digest()?,
+    ]))
+}
+
 fn not_run(code: Code) -> Refusal {
     Refusal::new(code, Run::NotRun)
 }
--- a/crates/mh_gateway/src/request/request_context.rs
+++ b/crates/mh_gateway/src/request/request_context.rs
@@ -3,13 +3,15 @@
 
 use arcstr::ArcStr;
 use hyper::header::HeaderValue;
-use mh_route::objects::WorkTimes;
+use mh_poison::Fingerprint;
+use mh_route::objects::{Placement, WorkTimes};
 use mh_types::{RegionName, Revision, ServiceName};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::buffer_budget::BufferBudget;
 use super::limit_gate::LimitGate;
+use super::poison_gate::PoisonGate;
 use crate::{ActiveShift, HeaderNames, HostRoute, LiveState, PlanOrg, ServiceBackends};
 
 /// Time past a route's timeout that is allowed for the arrival of the server's own timeout answer.
@@ -39,6 +41,9 @@
     /// Memory budget for buffered answers.
     pub(super) buffer_budget: BufferBudget,
     pub(super) limits: Arc<LimitGate>,
+    pub(super) poison: Arc<PoisonGate>,
+    /// Identifies requests with the same contents; `None` if the body is not known before it is sent.
+    pub(super) fingerprint: Option<Fingerprint>,
     pub(super) headers: Arc<HeaderNames>,
 }
 
@@ -72,6 +77,27 @@
         (self.object.unwrap_or_default() >> 32) as u32
     }
 
+    /// Returns whether the request may be sent to another server after the servers that it was lost at.
+    pub(super) fn may_retry(&self) -> bool {
+        self.fingerprint
+            .is_none_or(|fingerprint| self.poison.may_retry(&fingerprint))
+    }
+
+    /// Records that a server answered the request.
+    pub(super) fn record_answer(&self) {
+        if let Some(fingerprint) = &self.fingerprint {
+            self.poison.on_answer(fingerprint);
+        }
+    }
+
+    /// Records that the connection to a server broke while it had the request.
+    pub(super) fn record_loss(&self, placement: &Placement) {
+        let server = &placement.spec().name;
+        if let (Some(fingerprint), Some(connections)) = (self.fingerprint, self.backends.connections(server)) {
+            self.poison.on_lost(server, placement.run(), connections, fingerprint);
+        }
+    }
+
     /// Returns the milliseconds since the request arrived.
     pub(super) fn elapsed_ms(&self) -> u64 {
         self.arrived.elapsed().as_millis() as u64
--- a/crates/mh_types/src/code.rs
+++ b/crates/mh_types/src/code.rs
@@ -73,6 +73,7 @@
     RequestInvalid = 1021, 400, false, "The request is not valid HTTP for this port.";
     OperationUnresolved = 1022, 409, false, "An earlier attempt at the operation ended with an unknown result.";
     PartUnreadable = 1023, 503, true, "The part of the settings that the request needs cannot be read.";
+    RequestQuarantined = 1024, 503, true, "The request crashed several backend servers and is not sent to others for now.";
 
     NoServer = 2001, 503, true, "No backend server can take the request.";
     NoCapacity = 2002, 503, true, "Every backend server of the service is at its limit.";
