--- a/crates/mh_edge/src/edge.rs
+++ b/crates/mh_edge/src/edge.rs
@@ -26,7 +26,7 @@
 use crate::request_id::RequestId;
 use crate::response_body::ResponseBody;
 use crate::upload::{UploadProgress, read_body};
-use crate::{EdgeCfg, LiveState};
+use crate::{EdgeCfg, LiveState, PoisonGate};
 use key_check::authorise;
 
 /// Request counters since the start of the process.
@@ -51,6 +51,7 @@
     counters: Counters,
     operations: Operations,
     freshness_gate: FreshnessGate,
+    poison: Arc<PoisonGate>,
     links: OnceLock<Arc<dyn EdgeLinks>>,
 }
 
@@ -73,6 +74,7 @@
 impl Edge {
     /// Creates an edge without settings; it refuses every request until [`Edge::publish`] is called.
     pub fn new(owner: Owner, cfg: EdgeCfg) -> Self {
+        let poison = Arc::new(PoisonGate::new(owner.vm().clone()));
         Self {
             vm: owner.vm().clone(),
             cfg: Arc::new(cfg),
@@ -80,6 +82,7 @@
             counters: Counters::default(),
             operations: Operations::new(owner, TableLimits::default()),
             freshness_gate: FreshnessGate::new(Instant::now()),
+            poison,
             links: OnceLock::new(),
         }
     }
@@ -96,6 +99,11 @@
         &self.freshness_gate
     }
 
+    /// Returns the requests that crash servers.
+    pub fn poison(&self) -> &Arc<PoisonGate> {
+        &self.poison
+    }
+
     /// Returns the at-most-once operations that this VM decides.
     pub fn operations(&self) -> &Operations {
         &self.operations
@@ -184,6 +192,10 @@
         let forwarder = self
             .build_forwarder(&live, Arc::clone(&route), id.clone(), deadline)
             .map_err(not_run)?;
+        let forwarder = Forwarder {
+            caller: org.clone(),
+            ..forwarder
+        };
         if route.deferrable {
             return self.answer_deferrable(&live, forwarder, org, req).await;
         }
@@ -222,6 +234,9 @@
             key_checked_at: None,
             id,
             deadline,
+            poison: Arc::clone(&self.poison),
+            caller: None,
+            fingerprint: None,
         })
     }
 
--- a/crates/mh_edge/src/edge/deferrable.rs
+++ b/crates/mh_edge/src/edge/deferrable.rs
@@ -76,6 +76,10 @@
         let Ok(forwarder) = self.build_forwarder(&live, Arc::clone(route), id, deadline) else {
             return DeliveryOutcome::RetryLater;
         };
+        let forwarder = Forwarder {
+            caller: stored.org.clone(),
+            ..forwarder
+        };
         match self.try_deliver(&live, forwarder, stored, parts).await {
             Ok(response) if !response.status().is_server_error() => DeliveryOutcome::Delivered,
             _ => DeliveryOutcome::RetryLater,
--- a/crates/mh_edge/src/edge/operation.rs
+++ b/crates/mh_edge/src/edge/operation.rs
@@ -74,7 +74,10 @@
             return refused(Code::PeerMessageInvalid);
         };
         let forwarder = match self.build_forwarder(&live, Arc::clone(route), id, deadline) {
-            Ok(forwarder) => forwarder,
+            Ok(forwarder) => Forwarder {
+                caller: operation.org.clone(),
+                ..forwarder
+            },
             Err(code) => return refused(code),
         };
         let operation_forwarder = OperationForwarder {
--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -9,8 +9,10 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use mh_config::{CompiledRoute, Execution};
 use mh_once::{Answer, Attempt, Ready};
+use mh_poison::Fingerprint;
 use mh_route::{Outcome, SlotFractions};
-use mh_types::{Code, Event, Run, ServerName, emit};
+use mh_types::{Code, Event, OrgName, Run, ServerName, emit};
+use siphasher::sip128::SipHasher13;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -24,7 +26,7 @@
 use crate::response_body::ResponseBody;
 use crate::upload::{Upload, UploadProgress};
 use crate::version_gate::VersionPick;
-use crate::{Backends, EdgeCfg, VersionGate};
+use crate::{Backends, EdgeCfg, PoisonGate, VersionGate};
 
 /// Longest time from the first byte of a response head to its end; a typical head fits into one packet.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
@@ -53,6 +55,11 @@
     pub(crate) version_gate: Option<Arc<VersionGate>>,
     pub(crate) id: RequestId,
     pub(crate) deadline: Deadline,
+    pub(crate) poison: Arc<PoisonGate>,
+    /// Organisation that the request is made for; `None` on an open route.
+    pub(crate) caller: Option<OrgName>,
+    /// Identifies requests with the same contents; `None` if the body is not known before it is sent.
+    pub(crate) fingerprint: Option<Fingerprint>,
 }
 
 /// Failure of one attempt to forward a request.
@@ -71,7 +78,15 @@
 
 impl OperationRunner for OperationForwarder {
     async fn run(self, attempt: Attempt<Ready>) -> Result<Arc<Answer>, Refusal> {
-        let forwarder = &self.forwarder;
+        let Self {
+            mut forwarder,
+            parts,
+            body,
+        } = self;
+        if forwarder.check_quarantine(&parts, Some(&body)).is_err() {
+            return Err(abandon(attempt, Code::RequestQuarantined));
+        }
+        let forwarder = &forwarder;
         let mut tried = TriedServers::new();
         // Only connecting is retried, because no part of the operation has been sent at that point.
         let (picked, connection) = loop {
@@ -99,7 +114,7 @@
         }
         let attempt = attempt.send();
         let response = forwarder
-            .exchange(picked, connection, &self.parts, Upload::buffered(self.body.clone()))
+            .exchange(picked, connection, &parts, Upload::buffered(body.clone()))
             .await;
         let whole = match response {
             Ok(response) => tokio::time::timeout_at(forwarder.deadline.instant(), read_answer(response))
@@ -124,7 +139,12 @@
 
 impl Forwarder {
     /// Forwards an idempotent request and retries on other servers after a failure.
-    pub(crate) async fn run(self, parts: Parts, mut payload: Payload) -> Result<Response<ResponseBody>, Refusal> {
+    pub(crate) async fn run(mut self, parts: Parts, mut payload: Payload) -> Result<Response<ResponseBody>, Refusal> {
+        let body = match &payload {
+            Payload::Buffered(bytes) => Some(bytes),
+            Payload::Streamed(..) => None,
+        };
+        self.check_quarantine(&parts, body)?;
         let mut tried = TriedServers::new();
         let mut last = Failure {
             code: Code::NoServer,
@@ -132,6 +152,13 @@
         };
         self.backends.retries().on_request();
         while !self.is_last(&tried) {
+            if !tried.is_empty()
+                && self
+                    .fingerprint
+                    .is_some_and(|fingerprint| !self.poison.may_retry(&fingerprint))
+            {
+                break;
+            }
             if !tried.is_empty() && !self.backends.retries().try_retry(Instant::now(), true) {
                 break;
             }
@@ -177,6 +204,32 @@
         Err(Refusal::new(last.code, last.run))
     }
 
+    /// Computes the fingerprint of the request, and refuses it if requests like it crash servers.
+    fn check_quarantine(&mut self, parts: &Parts, body: Option<&Bytes>) -> Result<(), Refusal> {
+        let Some(body) = body else { return Ok(()) };
+        // Routes do not depend on the host, which differs between VMs.
+        let target = parts.uri.path_and_query().map_or("", |target| target.as_str());
+        let fingerprint = Fingerprint::of(&[
+            parts.method.as_str().as_bytes(),
+            target.as_bytes(),
+            self.caller.as_ref().map_or("", |caller| caller.as_str()).as_bytes(),
+            &SipHasher13::new().hash(body).as_bytes(),
+        ]);
+        self.fingerprint = Some(fingerprint);
+        self.poison.admit(&fingerprint).map_err(|quarantined| Refusal {
+            retry_after: Some(quarantined.retry_after),
+            ..Refusal::new(Code::RequestQuarantined, Run::NotRun)
+        })
+    }
+
+    /// Records that the connection to a server broke while it had the request.
+    fn record_loss(&self, picked: &PickedServer) {
+        if let Some(fingerprint) = self.fingerprint {
+            self.poison
+                .on_lost(picked.name(), None, picked.connections(), fingerprint);
+        }
+    }
+
     fn pick(&self, tried: &TriedServers) -> Result<PickedServer, Code> {
         let version_pick = self
             .version_gate
@@ -287,7 +340,10 @@
             // same server may receive the request twice.
             connection = match picked.connections().open(self.connect_timeout()).await {
                 Ok(connection) => connection,
-                Err(code) => return Err(self.fail(picked, Outcome::Failed, unknown(code))),
+                Err(code) => {
+                    self.record_loss(&picked);
+                    return Err(self.fail(picked, Outcome::Failed, unknown(code)));
+                }
             };
             sent = self.try_send(&mut connection, self.build_request(parts, upload)).await;
         }
@@ -302,6 +358,7 @@
                 let run = if e.take_message().is_some() {
                     Run::NotRun
                 } else {
+                    self.record_loss(&picked);
                     Run::Unknown
                 };
                 Err(self.fail(
@@ -354,6 +411,9 @@
         if !has_known_end(&parts.method, &response) {
             return Err(self.fail(picked, Outcome::Failed, unknown(Code::AnswerInvalid)));
         }
+        if let Some(fingerprint) = &self.fingerprint {
+            self.poison.on_answer(fingerprint);
+        }
         picked.record_response_head(response.status(), announces_close(&response));
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers);
--- a/crates/mh_gateway/src/request/poison_gate.rs
+++ b/crates/mh_edge/src/poison_gate.rs
@@ -1,15 +1,13 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use mh_edge::ConnectionPool;
 use mh_poison::{AnsweredTable, CrashGuard, Fingerprint, Msg, Outbox, Quarantined, ServerRun};
 use mh_types::{Event, ServerName, VmName, emit};
 use tokio::time::Instant;
 
-use crate::CrashPeers;
-use crate::node::lock;
+use crate::{ConnectionPool, CrashPeers};
 
 /// Time in which further requests that were lost in the same crash are collected.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
@@ -17,6 +15,14 @@
 /// Longest wait for a connection to a server that may have crashed: several round trips between regions.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// A server, and the start of its run where that is known.
+type LostAt = (ServerName, Option<u64>);
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Guarded values are changed in single steps, so that they stay consistent if another thread panics.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The requests that crash servers, as requests and control loops use them.
 ///
 /// While nothing is suspected, requests read one atomic flag and record their answers in a table of atomics.
@@ -26,12 +32,13 @@
     has_records: AtomicBool,
     answered: AnsweredTable,
     /// Requests that were lost at a server since the last check whether it is up.
-    lost: Mutex<HashMap<ServerRun, Vec<Fingerprint>>>,
+    lost: Mutex<HashMap<LostAt, Vec<Fingerprint>>>,
     peers: OnceLock<Arc<dyn CrashPeers>>,
 }
 
 impl PoisonGate {
-    pub(crate) fn new(vm: VmName) -> Self {
+    /// Creates the gate of a VM.
+    pub fn new(vm: VmName) -> Self {
         Self {
             guard: Mutex::new(CrashGuard::new(vm)),
             has_records: AtomicBool::new(false),
@@ -48,8 +55,12 @@
         let before = guard.quarantined(now);
         let out = f(&mut guard, &self.answered);
         let after = guard.quarantined(now);
+        let begun = guard.take_begun();
         self.has_records.store(!guard.is_empty(), Ordering::Relaxed);
         drop(guard);
+        if let Some(peers) = self.peers.get().filter(|_| !begun.is_empty()) {
+            peers.record(begun);
+        }
         let is_in =
             |list: &[mh_poison::QuarantineEntry], fingerprint| list.iter().any(|e| e.fingerprint == fingerprint);
         for entry in after.iter().filter(|entry| !is_in(&before, entry.fingerprint)) {
@@ -83,7 +94,7 @@
     /// # Errors
     ///
     /// [`Quarantined`] if it may not be sent now.
-    pub(super) fn admit(&self, fingerprint: &Fingerprint) -> Result<(), Quarantined> {
+    pub fn admit(&self, fingerprint: &Fingerprint) -> Result<(), Quarantined> {
         if !self.has_records.load(Ordering::Relaxed) {
             return Ok(());
         }
@@ -91,12 +102,12 @@
     }
 
     /// Returns whether a request that was lost may be sent to another server for the same attempt of its caller.
-    pub(super) fn may_retry(&self, fingerprint: &Fingerprint) -> bool {
+    pub fn may_retry(&self, fingerprint: &Fingerprint) -> bool {
         !self.has_records.load(Ordering::Relaxed) || lock(&self.guard).may_retry(fingerprint)
     }
 
     /// Records that a server answered a request.
-    pub(super) fn on_answer(&self, fingerprint: &Fingerprint) {
+    pub fn on_answer(&self, fingerprint: &Fingerprint) {
         self.answered.record(Instant::now(), fingerprint);
         if self.has_records.load(Ordering::Relaxed) {
             let out = self.with(|guard, _| guard.on_answer(fingerprint));
@@ -105,26 +116,26 @@
     }
 
     /// Records that the connection to a server broke while it had the request. If the server turns out to be down, it
-    /// has crashed.
-    pub(super) fn on_lost(
+    /// has crashed. `run` is the start of its run; without it, each crash that this VM sees counts as another one.
+    pub fn on_lost(
         self: &Arc<Self>,
         server: &ServerName,
-        run: u64,
+        run: Option<u64>,
         connections: &Arc<ConnectionPool>,
         fingerprint: Fingerprint,
     ) {
-        let server_run = ServerRun::new(server.as_str(), run);
+        let lost_at = (server.clone(), run);
         let mut lost = lock(&self.lost);
-        let is_first = !lost.contains_key(&server_run);
-        lost.entry(server_run).or_default().push(fingerprint);
+        let is_first = !lost.contains_key(&lost_at);
+        lost.entry(lost_at.clone()).or_default().push(fingerprint);
         drop(lost);
         if is_first {
-            let (gate, connections, server) = (Arc::clone(self), Arc::clone(connections), server.clone());
-            tokio::spawn(async move { gate.check_crash(server, server_run, &connections).await });
+            let (gate, connections) = (Arc::clone(self), Arc::clone(connections));
+            tokio::spawn(async move { gate.check_crash(lost_at, &connections).await });
         }
     }
 
-    async fn check_crash(&self, server: ServerName, server_run: ServerRun, connections: &Arc<ConnectionPool>) {
+    async fn check_crash(&self, lost_at: LostAt, connections: &Arc<ConnectionPool>) {
         tokio::time::sleep(COLLECT_TIME).await;
         let is_up = match connections.open(PROBE_TIMEOUT).await {
             Ok(connection) => {
@@ -133,10 +144,12 @@
             }
             Err(_) => false,
         };
-        let lost = lock(&self.lost).remove(&server_run).unwrap_or_default();
+        let lost = lock(&self.lost).remove(&lost_at).unwrap_or_default();
         if is_up {
             return;
         }
+        let (server, run) = lost_at;
+        let server_run = ServerRun::new(server.as_str(), run.unwrap_or_else(rand::random));
         emit!(Event::ServerCrashed, server = server, lost = lost.len());
         let now = Instant::now();
         let out = self.with(|guard, answered| guard.on_crash(now, server_run, &lost, answered));
@@ -144,7 +157,7 @@
     }
 
     /// Handles a message of another VM and returns the messages to send.
-    pub(crate) fn on_msg(&self, msg: Msg) -> Outbox {
+    pub fn on_msg(&self, msg: Msg) -> Outbox {
         self.with(|guard, answered| guard.on_msg(Instant::now(), msg, answered))
     }
 
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -7,13 +7,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mh_poison::Fingerprint;
 use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
 use tokio::time::Instant;
 
 use super::backend_inputs::BackendInputs;
 use super::known_server::KnownServer;
 use super::shift_controller::ShiftController;
-use crate::{AnnouncedVm, Batch, Bounds, Feed, Plan, RegisteredServer, ShiftOrder, ShiftRecord, Update};
+use crate::{
+    AnnouncedVm, Batch, Bounds, Feed, Plan, RegisteredServer, ShiftOrder, ShiftRecord, StoredQuarantine, Update,
+};
 use restored::RestoredState;
 
 /// This VM's state of the deployment, built from the feeds of the source.
@@ -43,6 +46,7 @@
     /// A reading of the store's clock, with the local time of the read.
     clock: Option<(Duration, Instant)>,
     restored: RestoredState,
+    quarantines: HashMap<Fingerprint, StoredQuarantine>,
 }
 
 impl DeploymentState {
@@ -67,6 +71,7 @@
             vms_read_at: None,
             clock: None,
             restored: RestoredState::default(),
+            quarantines: HashMap::new(),
         }
     }
 
@@ -110,6 +115,12 @@
         }
     }
 
+    /// Returns the quarantines in the store for which `is_over` holds.
+    pub(crate) fn quarantines_over(&self, is_over: impl Fn(&StoredQuarantine) -> bool) -> Vec<Fingerprint> {
+        let over = self.quarantines.values().filter(|stored| is_over(stored));
+        over.map(|stored| stored.fingerprint).collect()
+    }
+
     /// Returns the time within which entries are listed again after an outage or a restore of the source.
     pub(crate) fn entry_return(&self) -> Duration {
         self.bounds.entry_return
@@ -184,6 +195,7 @@
                     Update::Vm(vm, Some(_)) => Some(vm),
                     _ => None,
                 });
+                self.quarantines.clear();
                 let restored = &mut self.restored;
                 self.vms.retain(|vm, _| {
                     let is_kept = named.contains(vm) || restored.is_vm_lost(vm);
@@ -244,6 +256,10 @@
                     emit!(Event::VmListed, vm = name, domain = vm.domain, callers = vm.callers);
                 }
             }
+            Update::Quarantine(fingerprint, Some(quarantine)) => {
+                self.quarantines.insert(*fingerprint, quarantine.clone());
+            }
+            Update::Quarantine(fingerprint, None) => drop(self.quarantines.remove(fingerprint)),
             Update::Vm(name, None) => {
                 if self.vms.remove(name).is_some() {
                     emit!(Event::VmUnlisted, vm = name);
--- a/crates/mh_gateway/src/control/deployment_state/restored.rs
+++ b/crates/mh_gateway/src/control/deployment_state/restored.rs
@@ -73,7 +73,7 @@
                     None => self.departed_vms.insert(vm.clone(), ()),
                 }
             }
-            Update::Plan(_) | Update::Server(..) | Update::Shift(..) => {}
+            Update::Plan(_) | Update::Server(..) | Update::Shift(..) | Update::Quarantine(..) => {}
         }
     }
 
--- a/crates/mh_gateway/src/control/deployment_state/snapshot.rs
+++ b/crates/mh_gateway/src/control/deployment_state/snapshot.rs
@@ -39,8 +39,10 @@
             }
             Feed::Vms => {
                 let vms = self.vms.iter().filter(|(vm, _)| !self.restored.is_vm_lost(vm));
-                vms.map(|(name, vm)| Update::Vm(name.clone(), Some(vm.clone())))
-                    .collect()
+                let vms = vms.map(|(name, vm)| Update::Vm(name.clone(), Some(vm.clone())));
+                let quarantines = self.quarantines.iter();
+                let quarantines = quarantines.map(|(key, stored)| Update::Quarantine(*key, Some(stored.clone())));
+                vms.chain(quarantines).collect()
             }
         }
     }
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -105,11 +105,15 @@
     let out = lock(&node.quotas).on_tick(now);
     node.send_lending(out);
     node.tick_limits(now);
+    let cleans_up = alive.iter().min() == Some(node.gateway.vm()) && node.is_clean_up_due(now);
     let out = node.gateway.poison().with(|guard, _| {
         guard.set_vms(alive);
         guard.on_tick(now, rand::random())
     });
     node.send_crash_msgs(out);
+    if cleans_up {
+        node.remove_stored_quarantines();
+    }
 }
 
 /// Passes the VM list to the membership protocol and applies its view; returns the live VMs and the number of VMs that
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -53,6 +53,9 @@
             lock(&self.deployment).apply(feed, batch, is_whole, now);
         }
         drop(feeds);
+        if is_new && feed == Feed::Vms {
+            self.apply_stored_quarantines(&batch.updates, batch.clock);
+        }
         if is_new {
             self.rebuild(now);
         }
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -23,7 +23,6 @@
 
 mod bounds;
 mod control;
-mod crash_peers;
 mod header_names;
 mod interface;
 mod limit_peers;
@@ -42,7 +41,6 @@
 
 pub use bounds::Bounds;
 pub use control::DeploymentState;
-pub use crash_peers::CrashPeers;
 pub use header_names::HeaderNames;
 pub use interface::{Interface, LookupQuery};
 pub use limit_peers::LimitPeers;
@@ -51,11 +49,12 @@
 pub use node::{GatewayNode, StopOutcome, run_until_signal};
 pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, UnreadableParts};
 pub use quota_peers::QuotaPeers;
-pub use request::{Counters, Gateway, LimitGate, PoisonGate};
+pub use request::{Counters, Gateway, LimitGate};
 pub use service_backends::ServiceBackends;
 pub use settings::{BoundSettings, GatewayListen, GatewaySettings};
 pub use shift_phase::ShiftPhase;
 pub use source::{
-    AnnouncedVm, Batch, ChangesRead, Feed, RegisteredServer, ShiftOrder, ShiftRecord, Source, Update, WriteOutcome,
+    AnnouncedVm, Batch, ChangesRead, Feed, RegisteredServer, ShiftOrder, ShiftRecord, Source, StoredQuarantine, Update,
+    WriteOutcome,
 };
 pub use suspend_detector::SuspendDetector;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -31,6 +31,9 @@
 /// Minimum time between two attempts to write one phase of a shift.
 const SHIFT_WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time between two checks of stored quarantines.
+const CLEAN_UP_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Lending messages per datagram. A message takes about 100 bytes, so that the datagram stays below the usual MTU.
 const LENDING_MSGS_PER_DATAGRAM: usize = 10;
 
@@ -62,6 +65,7 @@
     shift_writes: Mutex<HashMap<(ServiceName, ShiftPhase), Instant>>,
     sharing_vms: AtomicU32,
     next_timed_change: Mutex<Option<Instant>>,
+    next_clean_up: Mutex<Option<Instant>>,
     epoch: watch::Sender<u64>,
     rebuilds: AtomicU64,
 }
@@ -126,6 +130,7 @@
             shift_writes: Mutex::default(),
             sharing_vms: AtomicU32::new(1),
             next_timed_change: Mutex::default(),
+            next_clean_up: Mutex::default(),
             epoch: watch::Sender::new(0),
             rebuilds: AtomicU64::new(0),
             cfg,
@@ -274,6 +279,16 @@
         lock(&self.next_timed_change).is_some_and(|at| at <= now)
     }
 
+    /// Returns whether stored quarantines should be checked now; at most once in [`CLEAN_UP_INTERVAL`].
+    pub(crate) fn is_clean_up_due(&self, now: Instant) -> bool {
+        let mut next = lock(&self.next_clean_up);
+        let is_due = next.is_some_and(|at| at <= now);
+        if is_due || next.is_none() {
+            *next = Some(now + CLEAN_UP_INTERVAL);
+        }
+        is_due
+    }
+
     /// Returns the number of VMs that limits are divided by, at least 1.
     pub(crate) fn sharing_vms(&self) -> u32 {
         self.sharing_vms.load(Ordering::Relaxed).max(1)
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response};
-use mh_edge::{Refusal, ResponseBody, admit_request, drain, total_bytes};
+use mh_edge::{PoisonGate, Refusal, ResponseBody, admit_request, drain, total_bytes};
 use mh_poison::Fingerprint;
 use mh_types::{Code, Event, Run, VmName, emit};
 use siphasher::sip::SipHasher13;
@@ -22,7 +22,6 @@
 use super::forward::forward;
 use super::limit_gate::LimitGate;
 use super::outgoing::forwarded_head;
-use super::poison_gate::PoisonGate;
 use super::request_context::RequestContext;
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
 
--- a/crates/mh_gateway/src/request/request_context.rs
+++ b/crates/mh_gateway/src/request/request_context.rs
@@ -3,6 +3,7 @@
 
 use arcstr::ArcStr;
 use hyper::header::HeaderValue;
+use mh_edge::PoisonGate;
 use mh_poison::Fingerprint;
 use mh_route::objects::{Placement, WorkTimes};
 use mh_types::{RegionName, Revision, ServiceName};
@@ -11,7 +12,6 @@
 
 use super::buffer_budget::BufferBudget;
 use super::limit_gate::LimitGate;
-use super::poison_gate::PoisonGate;
 use crate::{ActiveShift, HeaderNames, HostRoute, LiveState, PlanOrg, ServiceBackends};
 
 /// Time past a route's timeout that is allowed for the arrival of the server's own timeout answer.
@@ -94,7 +94,8 @@
     pub(super) fn record_loss(&self, placement: &Placement) {
         let server = &placement.spec().name;
         if let (Some(fingerprint), Some(connections)) = (self.fingerprint, self.backends.connections(server)) {
-            self.poison.on_lost(server, placement.run(), connections, fingerprint);
+            self.poison
+                .on_lost(server, Some(placement.run()), connections, fingerprint);
         }
     }
 
--- a/crates/mh_gateway/src/source.rs
+++ b/crates/mh_gateway/src/source.rs
@@ -5,6 +5,7 @@
 mod registered_server;
 mod shift_order;
 mod shift_record;
+mod stored_quarantine;
 mod update;
 mod write_outcome;
 
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 use mh_platform::{BoxFuture, Result};
+use mh_poison::Fingerprint;
 use mh_types::{ServiceName, StoreVersion, VmName};
 
 pub use announced_vm::AnnouncedVm;
@@ -21,6 +23,7 @@
 pub use registered_server::RegisteredServer;
 pub use shift_order::ShiftOrder;
 pub use shift_record::ShiftRecord;
+pub use stored_quarantine::StoredQuarantine;
 pub(crate) use update::Subject;
 pub use update::Update;
 pub use write_outcome::WriteOutcome;
@@ -42,6 +45,12 @@
     /// Removes a VM's entry from the VM list.
     fn withdraw<'a>(&'a self, vm: &'a VmName) -> BoxFuture<'a, Result<()>>;
 
+    /// Writes a quarantine, so that VMs that start learn of it.
+    fn record_quarantine<'a>(&'a self, quarantine: &'a StoredQuarantine) -> BoxFuture<'a, Result<()>>;
+
+    /// Removes a quarantine that has ended.
+    fn remove_quarantine<'a>(&'a self, fingerprint: &'a Fingerprint) -> BoxFuture<'a, Result<()>>;
+
     /// Records the progress of a shift if the stored record still has the version of `record` and the store was not
     /// restored since that was read.
     fn record_shift<'a>(
--- a/crates/mh_gateway/src/source/update.rs
+++ b/crates/mh_gateway/src/source/update.rs
@@ -1,9 +1,10 @@
 use std::sync::Arc;
 
+use mh_poison::Fingerprint;
 use mh_types::{DomainName, ServerName, ServiceName, VmName};
 use serde::{Deserialize, Serialize};
 
-use super::{AnnouncedVm, RegisteredServer, ShiftOrder, ShiftRecord};
+use super::{AnnouncedVm, RegisteredServer, ShiftOrder, ShiftRecord, StoredQuarantine};
 use crate::Plan;
 
 /// The current value of one subject.
@@ -21,6 +22,8 @@
     Shift(ServiceName, Option<ShiftRecord>),
     /// A VM's entry; `None` if it was removed.
     Vm(VmName, Option<AnnouncedVm>),
+    /// A request in quarantine; `None` if the quarantine was removed.
+    Quarantine(Fingerprint, Option<StoredQuarantine>),
 }
 
 /// Key of an update; a later update of the same subject replaces an earlier one.
@@ -32,6 +35,7 @@
     Server(ServerName),
     Shift(ServiceName),
     Vm(VmName),
+    Quarantine(Fingerprint),
 }
 
 impl Update {
@@ -43,6 +47,7 @@
             Self::Server(server, _) => Subject::Server(server.clone()),
             Self::Shift(service, _) => Subject::Shift(service.clone()),
             Self::Vm(vm, _) => Subject::Vm(vm.clone()),
+            Self::Quarantine(fingerprint, _) => Subject::Quarantine(*fingerprint),
         }
     }
 }
--- a/crates/mh_gateway/tests/relay.rs
+++ b/crates/mh_gateway/tests/relay.rs
@@ -14,6 +14,7 @@
     AnnouncedVm, BoundSettings, Feed, GatewayListen, GatewayNode, GatewaySettings, HeaderNames, Interface, LookupQuery,
     Update,
 };
+use mh_poison::{Fingerprint, ServerRun};
 use mh_types::{Code, VmName};
 use store::MemoryStore;
 
@@ -322,3 +323,57 @@
 
     wait_until(|| fleet.store.listed_vms() == listed).await;
 }
+
+/// Guards against a request that crashes servers again after all VMs, and all that they knew of it, were lost.
+#[tokio::test]
+async fn a_quarantine_outlasts_the_vms_that_began_it() {
+    let now = tokio::time::Instant::now();
+    let deadly = Fingerprint::of(&[b"deadly"]);
+    let store = {
+        let fleet = Fleet::start_with(2).await;
+        fleet.wait_for_revision(1).await;
+        let poison = fleet.vms[0].gateway().poison();
+        for n in 0..3 {
+            poison.with(|guard, answered| guard.on_crash(now, ServerRun::new("s", n), &[deadly], answered));
+        }
+        wait_until(|| fleet.store.quarantined().len() == 1).await;
+        fleet.store.clone()
+    };
+    // A store with the same contents, and none of the VMs.
+    let later = MemoryStore::new();
+    later.put(Feed::Settings, Update::Plan(fixtures::plan(1).into()));
+    for stored in store.quarantined() {
+        later.put(Feed::Vms, Update::Quarantine(stored.fingerprint, Some(stored)));
+    }
+
+    let (started, caller_port) = start_vm(&later, 7).await;
+    std::mem::forget(caller_port);
+    wait_until(|| started.gateway().live().ready).await;
+
+    let admitted = started.gateway().poison().with(|guard, _| guard.admit(now, &deadly));
+    assert!(admitted.is_err(), "{admitted:?}");
+}
+
+/// Guards against quarantines that stay in the store after a server has answered the request.
+#[tokio::test]
+async fn a_cleared_quarantine_leaves_the_store() {
+    let now = tokio::time::Instant::now();
+    let cleared = Fingerprint::of(&[b"cleared"]);
+    let fleet = Fleet::start_with(2).await;
+    fleet.wait_for_revision(1).await;
+    let poison = fleet.vms[0].gateway().poison();
+    for n in 0..3 {
+        poison.with(|guard, answered| guard.on_crash(now, ServerRun::new("s", n), &[cleared], answered));
+    }
+    wait_until(|| fleet.store.quarantined().len() == 1).await;
+
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for vm in &fleet.vms {
+        vm.gateway().poison().with(|guard, answered| {
+            answered.record(tokio::time::Instant::now(), &cleared);
+            guard.on_answer(&cleared)
+        });
+    }
+
+    wait_until(|| fleet.store.quarantined().is_empty()).await;
+}
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use mh_gateway::{AnnouncedVm, Batch, ChangesRead, Feed, ShiftRecord, Source, Update, WriteOutcome};
+use mh_gateway::{AnnouncedVm, Batch, ChangesRead, Feed, ShiftRecord, Source, StoredQuarantine, Update, WriteOutcome};
 use mh_platform::{BoxFuture, PlatformError, Result};
+use mh_poison::Fingerprint;
 use mh_types::{Code, ServiceName, StoreVersion, VmName};
 use tokio::sync::watch;
 
@@ -15,6 +16,8 @@
     /// Number of restores so far.
     era: u64,
     version: u64,
+    /// Start of the store's clock, at the first read.
+    started: Option<tokio::time::Instant>,
     /// All updates with their versions, in order.
     updates: Vec<(Feed, u64, Update)>,
     refused: HashSet<VmName>,
@@ -94,6 +97,21 @@
         })
     }
 
+    /// Returns the requests that the store keeps in quarantine.
+    pub fn quarantined(&self) -> Vec<StoredQuarantine> {
+        self.with_state(|state| {
+            let mut stored = BTreeMap::new();
+            for (_, _, update) in &state.updates {
+                match update {
+                    Update::Quarantine(fingerprint, Some(found)) => drop(stored.insert(*fingerprint, found.clone())),
+                    Update::Quarantine(fingerprint, None) => drop(stored.remove(fingerprint)),
+                    _ => {}
+                }
+            }
+            stored.into_values().collect()
+        })
+    }
+
     /// Refuses every call of `vm` from now on.
     pub fn refuse(&self, vm: &VmName) {
         self.with_state(|state| state.refused.insert(vm.clone()));
@@ -137,7 +155,7 @@
     }
 }
 
-fn batch(state: &State, feed: Feed, after: u64) -> Batch {
+fn batch(state: &mut State, feed: Feed, after: u64) -> Batch {
     let updates = state.updates.iter();
     let updates: Vec<_> = updates
         .filter(|(update_feed, version, _)| *update_feed == feed && *version > after)
@@ -148,7 +166,7 @@
             state.era,
             updates.iter().map(|update| update.1).max().unwrap_or_default(),
         ),
-        clock: Duration::from_secs(1),
+        clock: Duration::from_secs(1) + state.started.get_or_insert_with(tokio::time::Instant::now).elapsed(),
         updates: updates.into_iter().map(|(_, _, update)| update.clone()).collect(),
     }
 }
@@ -189,6 +207,23 @@
         })
     }
 
+    fn record_quarantine<'a>(&'a self, quarantine: &'a StoredQuarantine) -> BoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            self.call(|_| ())?;
+            let update = Update::Quarantine(quarantine.fingerprint, Some(quarantine.clone()));
+            self.store.put(Feed::Vms, update);
+            Ok(())
+        })
+    }
+
+    fn remove_quarantine<'a>(&'a self, fingerprint: &'a Fingerprint) -> BoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            self.call(|_| ())?;
+            self.store.put(Feed::Vms, Update::Quarantine(*fingerprint, None));
+            Ok(())
+        })
+    }
+
     fn record_shift<'a>(
         &'a self,
         _service: &'a ServiceName,
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -6,6 +6,7 @@
 use mh_budget::{Ask, Body, Loan, Msg as LendMsg, Return, Share};
 use mh_config::KeyHash;
 use mh_platform::BoxFuture;
+use mh_poison::Fingerprint;
 use mh_types::{Code, Incarnation, Revision, ServerName, ServiceName, StoreVersion};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -15,7 +16,7 @@
 use crate::{
     Batch, BoundSettings, CallerLimits, ChangesRead, GatewayListen, GatewaySettings, HeaderNames, HostRoute, Interface,
     LookupQuery, Plan, PlanOrg, PlanService, RegisteredServer, RequestKind, ShiftOrder, ShiftPhase, ShiftRecord,
-    Source, Target, Update, WriteOutcome,
+    Source, StoredQuarantine, Target, Update, WriteOutcome,
 };
 
 /// Number of mutated messages; `FUZZ_CASES` overrides it.
@@ -71,6 +72,14 @@
         Box::pin(std::future::ready(Ok(())))
     }
 
+    fn record_quarantine<'a>(&'a self, _: &'a StoredQuarantine) -> BoxFuture<'a, mh_platform::Result<()>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn remove_quarantine<'a>(&'a self, _: &'a Fingerprint) -> BoxFuture<'a, mh_platform::Result<()>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
     fn record_shift<'a>(
         &'a self,
         _: &'a ServiceName,
--- a/crates/mh_node/src/heartbeat.rs
+++ b/crates/mh_node/src/heartbeat.rs
@@ -42,6 +42,7 @@
             () = node.heartbeat_now.notified() => {}
         }
         node.publish();
+        node.tick_crash_reports();
     }
 }
 
--- a/crates/mh_node/src/lib.rs
+++ b/crates/mh_node/src/lib.rs
@@ -15,6 +15,7 @@
 mod allowances;
 mod catch_up;
 mod claims;
+mod crash_reports;
 mod deferred_loop;
 mod edge_links;
 mod exit;
--- a/crates/mh_node/src/node.rs
+++ b/crates/mh_node/src/node.rs
@@ -13,6 +13,7 @@
 use crate::VmSettings;
 use crate::allowances::Allowances;
 use crate::claims::Claims;
+use crate::crash_reports::NodeCrashPeers;
 use crate::edge_links::NodeEdgeLinks;
 use crate::freshness::FreshnessState;
 use crate::local_settings::LocalSettings;
@@ -102,6 +103,8 @@
         let _ = node.net.set(net);
         emit!(Event::Started, vm = node.cfg.vm, incarnation = node.incarnation);
         node.edge.set_links(Arc::new(NodeEdgeLinks(Arc::clone(&node))));
+        let crash_peers = NodeCrashPeers(Arc::downgrade(&node));
+        node.edge.poison().set_peers(Arc::new(crash_peers));
         tokio::spawn(Arc::clone(&node.claims).run());
         node.publish();
         let caller_port =
--- a/crates/mh_node/src/peer_handler.rs
+++ b/crates/mh_node/src/peer_handler.rs
@@ -23,6 +23,7 @@
         let node = &self.0;
         node.on_heartbeat(&exchange, Instant::now());
         node.shifts.merge_evidence(&exchange.from.vm, &exchange.parts, None);
+        node.on_crash_reports(&exchange.from.vm, &exchange.parts);
         let mut parts = node.heartbeat_parts();
         parts.extend(node.respond_to_lending(&exchange.from.vm, &exchange.parts));
         let report_request = exchange.parts.iter().find(|part| part.kind == REPORT_REQUEST_PART);
--- a/crates/mh_poison/src/crash_guard.rs
+++ b/crates/mh_poison/src/crash_guard.rs
@@ -39,6 +39,8 @@
     /// Live VMs, in order of their names.
     vms: Vec<VmName>,
     records: HashMap<Fingerprint, Record>,
+    /// Quarantines that this VM began since the last call of [`take_begun`](Self::take_begun).
+    begun: Vec<QuarantineEntry>,
 }
 
 impl CrashGuard {
@@ -48,6 +50,7 @@
             vms: vec![own_vm.clone()],
             own_vm,
             records: HashMap::new(),
+            begun: Vec::new(),
         }
     }
 
@@ -186,6 +189,16 @@
         entries
     }
 
+    /// Returns the quarantines that this VM began since the last call.
+    pub fn take_begun(&mut self) -> Vec<QuarantineEntry> {
+        std::mem::take(&mut self.begun)
+    }
+
+    /// Returns whether anything is known of the request.
+    pub fn is_known(&self, fingerprint: &Fingerprint) -> bool {
+        self.records.contains_key(fingerprint)
+    }
+
     /// Returns the number of requests that are suspected or in quarantine.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -207,6 +220,7 @@
             return Outbox::new();
         }
         let entry = record.entry(now, fingerprint);
+        self.begun.extend(entry);
         self.broadcast(&Msg::Quarantine(entry.into_iter().collect()))
     }
 
--- a/crates/mh_poison/src/fingerprint.rs
+++ b/crates/mh_poison/src/fingerprint.rs
@@ -27,6 +27,13 @@
         Self(out)
     }
 
+    /// Parses the display format.
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_hex = text.len() == 2 * FINGERPRINT_BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let value = is_hex.then(|| u128::from_str_radix(text, 16).ok()).flatten()?;
+        Some(Self(value.to_be_bytes()))
+    }
+
     /// Returns 64 bits of the fingerprint, for tables and for the choice of VMs.
     pub fn bits(&self) -> u64 {
         let (bits, _) = self.0.split_at(size_of::<u64>());
--- a/crates/mh_standin/src/lib.rs
+++ b/crates/mh_standin/src/lib.rs
@@ -17,6 +17,7 @@
 mod backend;
 mod backend_faults;
 mod caller;
+mod dying_server;
 mod faults;
 mod memory_table;
 mod platform;
@@ -28,6 +29,7 @@
 pub use backend::{Backend, ReceivedRequest};
 pub use backend_faults::BackendFaults;
 pub use caller::{Caller, Reply};
+pub use dying_server::DyingServer;
 pub use faults::Faults;
 pub use memory_table::MemoryTable;
 pub use platform::Platform;
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -59,6 +59,24 @@
         Some(sender)
     }
 
+    /// Sends one idempotent request with this path, and records its answer or refusal in the ledger.
+    pub async fn send_path(
+        &mut self,
+        ledger: &Ledger,
+        org: &'static str,
+        key: &str,
+        path: String,
+    ) -> (SentRequest, Outcome) {
+        let sent = SentRequest {
+            path,
+            body: String::new(),
+            id: format!("q{}", NEXT_NUMBER.fetch_add(1, Ordering::Relaxed)),
+            org,
+            is_idempotent: true,
+        };
+        self.exchange(ledger, key, Method::GET, sent).await
+    }
+
     /// Sends one request, and records its answer or refusal in the ledger.
     pub async fn send(
         &mut self,
@@ -81,6 +99,16 @@
             org,
             is_idempotent,
         };
+        self.exchange(ledger, key, method, sent).await
+    }
+
+    async fn exchange(
+        &mut self,
+        ledger: &Ledger,
+        key: &str,
+        method: Method,
+        sent: SentRequest,
+    ) -> (SentRequest, Outcome) {
         let Some(mut sender) = self.connection().await else {
             return (sent, Outcome::NotConnected);
         };
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use mh_standin::Process;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::client::{Client, Outcome};
 use super::fake_store::FakeStore;
 use super::ledger::Ledger;
 use super::operator::{CONFIG_KEY, OPERATOR_TABLE, Org, SERVER_TABLE, config, server_entry};
-use super::server::Server;
+use super::proxy::Proxy;
+use super::server::{DEADLY_PATH, Server};
 use super::step::{DOMAINS, Step};
 use super::vm::Vm;
 
@@ -33,6 +35,12 @@
 /// Time without an unplanned fault after which a planned stop must abort no request.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which a server is down after a request has crashed it.
+const RESTART_TIME: Duration = Duration::from_millis(1200);
+
+/// Distance between the run numbers of a server; the numbers of other servers lie between.
+const RUNS_APART: u64 = 1_000_000;
+
 /// Time after which a wait counts as failed; long enough for a slow machine.
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -48,7 +56,7 @@
     fault_free_since: Arc<Mutex<Option<Instant>>>,
     /// Number of servers started so far.
     servers_started: u64,
-    caller_tasks: tokio::task::JoinSet<()>,
+    tasks: tokio::task::JoinSet<()>,
     /// Number of starts of each VM; the order of configurations is guaranteed only within one process.
     starts: Vec<Arc<AtomicU64>>,
     pub folder: tempfile::TempDir,
@@ -76,7 +84,7 @@
             version: Arc::new(AtomicU64::new(1)),
             fault_free_since: Arc::default(),
             servers_started: 0,
-            caller_tasks: tokio::task::JoinSet::new(),
+            tasks: tokio::task::JoinSet::new(),
             starts: (0..VMS).map(|_| Arc::default()).collect(),
             folder,
         };
@@ -120,6 +128,13 @@
         let name = format!("{service}-{}", self.servers_started);
         let server = Server::start(name, service, domain, self.servers_started, &self.ledger).await;
         self.register(&server, false);
+        self.tasks.spawn(restart_after_deaths(
+            self.store.clone(),
+            server.name.clone(),
+            server.proxy.clone(),
+            (server.service, server.domain, server.number),
+            server.deaths(),
+        ));
         server
     }
 
@@ -167,6 +182,7 @@
                 self.servers[server] = self.new_server(service, domain).await;
             }
             Step::StoreOutage(fault) => self.store.set_outage(fault),
+            Step::SendDeadly(vm, number) => self.send_deadly(vm, number),
             Step::RestoreStore(age) => self.restore_store(age),
             Step::Configure => self.configure(),
             Step::Drain(domain, true) => {
@@ -180,6 +196,16 @@
         }
     }
 
+    /// Sends a request that crashes the servers that run it to a VM, and waits for no answer.
+    fn send_deadly(&mut self, vm: usize, number: u64) {
+        let mut client = Client::new(self.vms[vm].caller_addr);
+        let ledger = self.ledger.clone();
+        let path = format!("{DEADLY_PATH}{number}");
+        self.tasks.spawn(async move {
+            client.send_path(&ledger, UNLIMITED_ORG, UNLIMITED_ORG_KEY, path).await;
+        });
+    }
+
     /// Restores the store from an older copy. Operators and servers write their lost rows again before the next step; what
     /// the VMs wrote stays lost.
     fn restore_store(&self, age: Duration) {
@@ -244,7 +270,7 @@
             let addr = vm.caller_addr;
             for is_idempotent in [true, false] {
                 let (ledger, fault_free_since) = (self.ledger.clone(), Arc::clone(&self.fault_free_since));
-                self.caller_tasks.spawn(send_requests(
+                self.tasks.spawn(send_requests(
                     addr,
                     ledger,
                     fault_free_since,
@@ -255,7 +281,7 @@
                 ));
             }
             let (ledger, fault_free_since) = (self.ledger.clone(), Arc::clone(&self.fault_free_since));
-            self.caller_tasks.spawn(send_requests(
+            self.tasks.spawn(send_requests(
                 addr,
                 ledger,
                 fault_free_since,
@@ -265,12 +291,35 @@
                 60,
             ));
             let (version, starts) = (Arc::clone(&self.version), Arc::clone(&self.starts[n]));
-            self.caller_tasks
+            self.tasks
                 .spawn(check_configuration_order(addr, self.ledger.clone(), version, starts));
         }
     }
 }
 
+/// Restarts a server under its name whenever a request has taken it down.
+async fn restart_after_deaths(
+    store: FakeStore,
+    name: String,
+    proxy: Proxy,
+    (service, domain, first_run): (&'static str, &'static str, u64),
+    mut deaths: watch::Receiver<u64>,
+) {
+    while deaths.changed().await.is_ok() {
+        let count = *deaths.borrow_and_update();
+        proxy.go_down(RESTART_TIME).await;
+        // A server that has been replaced meanwhile is not registered again.
+        if store.value(SERVER_TABLE, &name).is_some() {
+            let run = first_run + count * RUNS_APART;
+            store.put(
+                SERVER_TABLE,
+                &name,
+                &server_entry(service, proxy.addr(), domain, false, run),
+            );
+        }
+    }
+}
+
 /// Sends requests in a loop, and records answers that no configuration allows.
 async fn send_requests(
     vm: std::net::SocketAddr,
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -13,6 +13,11 @@
 /// Number of requests in a window that may exceed the quota in addition.
 const QUOTA_SLACK_REQUESTS: f64 = 20.0;
 
+/// Time after the third crash by a deadly request from which on it may hardly reach servers.
+const DEADLY_SETTLE: Duration = Duration::from_secs(3);
+/// Number of times that it may still reach one. VMs in trouble are counted too.
+const MAX_LATE_DEADLY_REQUESTS: usize = 3;
+
 /// Window in which the requests to a server with a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Time after which a stated limit binds.
@@ -37,6 +42,8 @@
     /// Requests whose connection closed without an answer while there were no unplanned faults.
     disconnected: HashSet<String>,
     violations: Vec<String>,
+    /// Times at which each deadly request took a server down, by path.
+    deaths: HashMap<String, Vec<Instant>>,
     /// Times at which requests arrived at each server.
     arrivals: HashMap<String, Vec<Instant>>,
     /// Limits that each server stated, with the times from which on it did.
@@ -102,6 +109,12 @@
         });
     }
 
+    /// Records that a deadly request took a server down.
+    pub fn record_death(&self, path: &str) {
+        let now = Instant::now();
+        self.with_state(|state| state.deaths.entry(path.to_owned()).or_default().push(now));
+    }
+
     /// Records that a request arrived at a server, whether it runs or not.
     pub fn record_arrival(&self, server: &str) {
         let now = Instant::now();
@@ -179,6 +192,19 @@
                     "{peak} requests of {org} ran in one window; the limit is {max_requests}"
                 ));
             }
+            for (path, deaths) in &state.deaths {
+                let settled_at = deaths.get(2).map(|third| *third + DEADLY_SETTLE);
+                let late = deaths
+                    .iter()
+                    .filter(|at| settled_at.is_some_and(|settled| **at > settled));
+                let late = late.count();
+                if late > MAX_LATE_DEADLY_REQUESTS {
+                    out.push(format!(
+                        "{path} took down {} servers, {late} of them late",
+                        deaths.len()
+                    ));
+                }
+            }
             for (server, stated) in &state.limits {
                 let arrivals = state.arrivals.get(server).map_or(&[][..], Vec::as_slice);
                 out.extend(limit_violations(server, stated, arrivals));
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -22,10 +22,25 @@
     Closed,
 }
 
+/// Wait between two attempts to bind a port again.
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
+async fn bind_again(addr: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(addr).await {
+            return listener;
+        }
+        tokio::time::sleep(BIND_RETRY_INTERVAL).await;
+    }
+}
+
 /// A loopback proxy in front of one address, with a link into which faults can be injected.
+#[derive(Clone)]
 pub struct Proxy {
     addr: SocketAddr,
     link: watch::Sender<Link>,
+    /// Whether new connections are refused and open ones reset, as if the target had crashed.
+    is_down: watch::Sender<bool>,
     /// Last change to open connections, with a counter so that each change is noticed.
     open: watch::Sender<(u64, OpenConnections)>,
 }
@@ -53,21 +68,44 @@
             watch::Sender::new(Link::Healthy),
             watch::Sender::new((0, OpenConnections::Unchanged)),
         );
-        let (link_sender, open_sender) = (link.clone(), open.clone());
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                if *link_sender.borrow() == Link::Closed {
-                    continue;
-                }
-                tokio::spawn(forward(
-                    stream,
-                    target,
-                    link_sender.subscribe(),
-                    open_sender.subscribe(),
-                ));
+        let is_down = watch::Sender::new(false);
+        let proxy = Self {
+            addr,
+            link,
+            is_down,
+            open,
+        };
+        tokio::spawn(proxy.clone().run(listener, target));
+        proxy
+    }
+
+    async fn run(self, mut listener: TcpListener, target: SocketAddr) {
+        let mut is_down = self.is_down.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => Some(accepted),
+                _ = is_down.wait_for(|is_down| *is_down) => None,
+            };
+            let Some(accepted) = accepted else {
+                drop(listener);
+                let _ = is_down.wait_for(|is_down| !*is_down).await;
+                listener = bind_again(self.addr).await;
+                continue;
+            };
+            let Ok((stream, _)) = accepted else { return };
+            if *self.link.borrow() == Link::Closed {
+                continue;
             }
-        });
-        Self { addr, link, open }
+            tokio::spawn(forward(stream, target, self.link.subscribe(), self.open.subscribe()));
+        }
+    }
+
+    /// Resets open connections and refuses new ones for `time`.
+    pub async fn go_down(&self, time: Duration) {
+        self.is_down.send_replace(true);
+        self.set_open_connections(OpenConnections::Reset);
+        tokio::time::sleep(time).await;
+        self.is_down.send_replace(false);
     }
 
     pub fn addr(&self) -> SocketAddr {
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -13,12 +14,16 @@
 use hyper_util::rt::TokioIo;
 use rand::RngExt;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::ledger::{Ledger, ReceivedRequest, answer_body};
 use super::operator::{EXPECTED_SERVER, KEY, NOT_RUN, ORGANISATION, REQUEST_ID, SERVER_LIMIT, STAMP};
 use super::proxy::Proxy;
 
+/// Start of the paths of requests that crash the server that runs them.
+pub const DEADLY_PATH: &str = "/stock/deadly-";
+
 /// Longest time for which a healthy server works on a request.
 const MAX_WORK_TIME: Duration = Duration::from_millis(30);
 
@@ -50,6 +55,8 @@
     behaviour: Arc<Mutex<Behaviour>>,
     /// Text of the limit that the server states.
     limit: Arc<Mutex<Option<&'static str>>>,
+    /// Number of times that a request has taken the server down.
+    deaths: watch::Sender<u64>,
     ledger: Ledger,
     accept_task: JoinHandle<()>,
 }
@@ -59,6 +66,7 @@
     ledger: Ledger,
     behaviour: Arc<Mutex<Behaviour>>,
     limit: Arc<Mutex<Option<&'static str>>>,
+    deaths: watch::Sender<u64>,
     running: std::sync::atomic::AtomicUsize,
 }
 
@@ -74,11 +82,13 @@
         let addr = listener.local_addr().expect("a bound address");
         let behaviour = Arc::new(Mutex::new(Behaviour::Healthy));
         let limit = Arc::new(Mutex::new(None));
+        let deaths = watch::Sender::new(0);
         let state = Arc::new(ServerState {
             name: name.clone(),
             ledger: ledger.clone(),
             behaviour: Arc::clone(&behaviour),
             limit: Arc::clone(&limit),
+            deaths: deaths.clone(),
             running: std::sync::atomic::AtomicUsize::new(0),
         });
         let accept_task = tokio::spawn(async move {
@@ -103,6 +113,7 @@
             proxy: Proxy::start(addr).await,
             behaviour,
             limit,
+            deaths,
             ledger: ledger.clone(),
             accept_task,
         }
@@ -122,6 +133,11 @@
         *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
     }
 
+    /// Returns the number of times that a request has taken the server down; the fleet restarts it.
+    pub fn deaths(&self) -> watch::Receiver<u64> {
+        self.deaths.subscribe()
+    }
+
     /// Stops the server and closes all its connections.
     pub fn crash(&self) {
         self.accept_task.abort();
@@ -149,8 +165,27 @@
 type Body = http_body_util::Either<Full<Bytes>, http_body_util::StreamBody<TruncatedBody>>;
 type TruncatedBody = tokio_stream::Iter<std::vec::IntoIter<Result<hyper::body::Frame<Bytes>, Infallible>>>;
 
+/// A running request, which ends when it is answered or its connection closes.
+struct Slot<'a> {
+    state: &'a ServerState,
+    /// Number of other running requests.
+    before: usize,
+}
+
+impl<'a> Slot<'a> {
+    fn take(state: &'a ServerState) -> Self {
+        let before = state.running.fetch_add(1, Ordering::Relaxed);
+        Self { state, before }
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.state.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn handle(state: Arc<ServerState>, req: Request<Incoming>) -> Result<Response<Body>, ConnectionAborted> {
-    use std::sync::atomic::Ordering;
     let header = |headers: &HeaderMap, name: &str| {
         let value = headers.get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
@@ -165,8 +200,8 @@
     let Ok(body) = body.collect().await else {
         return Err(ConnectionAborted);
     };
-    if state.running.fetch_add(1, Ordering::Relaxed) >= MAX_CONCURRENT_REQUESTS {
-        state.running.fetch_sub(1, Ordering::Relaxed);
+    let slot = Slot::take(&state);
+    if slot.before >= MAX_CONCURRENT_REQUESTS {
         return Ok(respond(
             StatusCode::SERVICE_UNAVAILABLE,
             &id,
@@ -181,11 +216,17 @@
         org: header(&head.headers, ORGANISATION),
         has_key: head.headers.contains_key(KEY),
     });
+    if head.uri.path().starts_with(DEADLY_PATH) {
+        state.ledger.record_death(head.uri.path());
+        state.deaths.send_modify(|count| *count += 1);
+        // The connection is reset by the crash.
+        return std::future::pending().await;
+    }
     let behaviour = *state.behaviour.lock().unwrap_or_else(PoisonError::into_inner);
     let (fraction, is_affected) = (rand::rng().random::<f64>(), rand::rng().random::<bool>());
     let factor = if behaviour == Behaviour::Slow { 20.0 } else { 1.0 };
     tokio::time::sleep(MAX_WORK_TIME.mul_f64(fraction * factor)).await;
-    state.running.fetch_sub(1, Ordering::Relaxed);
+    drop(slot);
     let mut answer = match behaviour {
         Behaviour::DropsAnswers if is_affected => return Err(ConnectionAborted),
         Behaviour::Fails if is_affected => respond(StatusCode::INTERNAL_SERVER_ERROR, &id, None, "no".to_owned()),
--- a/tests/soak/step.rs
+++ b/tests/soak/step.rs
@@ -49,6 +49,8 @@
     StoreOutage(Option<Fault>),
     /// Restores the store from a copy of this age; operators and servers then write again what was lost.
     RestoreStore(Duration),
+    /// Sends a request that crashes the servers that run it, with this number, to a VM.
+    SendDeadly(usize, u64),
     /// Publishes a new configuration, which withdraws a key and grants another.
     Configure,
     /// Starts or ends the drain of a failure domain.
@@ -112,9 +114,22 @@
     }
     steps.extend(random_limits(rng, servers));
     steps.extend(random_restores(rng));
+    steps.extend(random_deadly_requests(rng, vms));
     sorted_by_time(steps)
 }
 
+/// One request that crashes the servers that run it, sent again and again to any VM, in one phase in two.
+fn random_deadly_requests(rng: &mut StdRng, vms: usize) -> Vec<TimedStep> {
+    let number = rng.random();
+    let count = if rng.random() { rng.random_range(10..40) } else { 0 };
+    let times = (0..count).map(|_| Duration::from_millis(rng.random_range(200..9000)));
+    let times: Vec<Duration> = times.collect();
+    times
+        .into_iter()
+        .map(|at| (at, Step::SendDeadly(rng.random_range(0..vms), number)))
+        .collect()
+}
+
 /// Restores of the store from copies of any age, in one phase in two; each follows a short or long outage.
 fn random_restores(rng: &mut StdRng) -> Vec<TimedStep> {
     let mut steps = Vec::new();
