Refuse requests that may outlast a VM that is shutting down

A gateway took every request for 42% of the grace and exited at 93% of it; one that came at the end of the first part, with a timeout longer than the rest, was passed on and could be cut without an answer. It is now refused as not run, at once, and another VM serves it whole. leaving_vm_refuses_requests_that_may_outlast_it does not build on the code before, which had no time to compare with; that it was taken there follows from reading the code.

--- a/crates/mh_gateway/src/node/shutdown.rs
+++ b/crates/mh_gateway/src/node/shutdown.rs
@@ -78,7 +78,8 @@
 async fn stop(node: &Arc<GatewayNode>, caller_port: CallerPort) -> StopOutcome {
     let started = Instant::now();
     let grace = node.gateway.bounds().shutdown_grace;
-    node.gateway.leave();
+    let end = started + grace.mul_f64(END_FRACTION);
+    node.gateway.leave(end);
     let out = lock(&node.membership).leave(started);
     node.send_membership(out);
     let withdrawing = Arc::clone(node);
@@ -86,7 +87,6 @@
     tokio::time::sleep_until(started + grace.mul_f64(SERVING_FRACTION)).await;
     node.gateway.close();
     let running = || node.gateway.counters().running.load(Ordering::Relaxed);
-    let end = started + grace.mul_f64(END_FRACTION);
     while running() > 0 && Instant::now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -46,7 +46,8 @@
     live: ArcSwap<LiveState>,
     counters: Counters,
     buffer_budget: BufferBudget,
-    leaving: AtomicBool,
+    /// Time at which the process exits; set when the VM starts to shut down.
+    exits_at: OnceLock<Instant>,
     closed: AtomicBool,
     quota_peers: OnceLock<Arc<dyn QuotaPeers>>,
     limits: Arc<LimitGate>,
@@ -65,7 +66,7 @@
             live: ArcSwap::default(),
             counters: Counters::default(),
             buffer_budget: BufferBudget::new(DEFAULT_BUFFER_BYTES),
-            leaving: AtomicBool::new(false),
+            exits_at: OnceLock::new(),
             closed: AtomicBool::new(false),
             quota_peers: OnceLock::new(),
         }
@@ -131,14 +132,16 @@
         self.live.store(Arc::new(live));
     }
 
-    /// Makes answers ask callers to close their connections; requests are still served.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Makes answers ask callers to close their connections. Requests are still served, unless they may last beyond
+    /// `exits_at`, when the process exits.
+    pub fn leave(&self, exits_at: Instant) {
+        // A second call has no effect.
+        let _ = self.exits_at.set(exits_at);
     }
 
     /// Returns whether the VM is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.exits_at.get().is_some()
     }
 
     /// Refuses new requests, so that running requests can finish.
@@ -272,6 +275,14 @@
         let deadline = caller_deadline(&parts.headers, &self.headers, arrived, &route)?;
         let mut cx = self.build_context(&live, plan, route, org, id, arrived)?;
         cx.deadline = deadline;
+        // Another VM can serve the request whole.
+        if self
+            .exits_at
+            .get()
+            .is_some_and(|exits_at| cx.effective_deadline() > *exits_at)
+        {
+            return Err(refusal_with_retry_after(Code::Leaving, LEAVING_RETRY_AFTER));
+        }
         cx.object = object_hash(&parts.headers, &self.headers).filter(|_| cx.route.sticky);
         self.take_quota(&live, &cx).await?;
         Ok(cx)
--- a/crates/mh_gateway/tests/gateway.rs
+++ b/crates/mh_gateway/tests/gateway.rs
@@ -215,7 +215,9 @@
 #[tokio::test]
 async fn leaving_vm_serves_and_then_refuses_as_not_run() {
     let harness = GatewayHarness::start(&[OK]).await;
-    harness.gateway.leave();
+    harness
+        .gateway
+        .leave(tokio::time::Instant::now() + Duration::from_mins(1));
     let served = harness.get("/safe/x").await;
     harness.gateway.close();
     let refused = harness.send("POST", "/pay/x", "").await;
@@ -224,6 +226,23 @@
     assert!(served.head.contains("connection: close"), "{}", served.head);
 }
 
+/// Guards against a request that is accepted late in a shutdown and cut off without an answer when the process exits.
+#[tokio::test]
+async fn leaving_vm_refuses_requests_that_may_outlast_it() {
+    let harness = GatewayHarness::start(&[OK]).await;
+    harness
+        .gateway
+        .leave(tokio::time::Instant::now() + harness::TIMEOUT.mul_f64(0.95));
+
+    let refused = harness.send("POST", "/pay/x", "").await;
+    let short = format!("mangohook-deadline-ms: {}\r\n", harness::TIMEOUT.as_millis() * 9 / 10);
+    let served = harness.send("POST", "/pay/x", &short).await;
+
+    assert_eq!((refused.status, served.status), (503, 200));
+    assert!(refused.head.contains("retry-after"), "{}", refused.head);
+    assert_eq!(harness.seen().len(), 1);
+}
+
 /// Guards against sending a request again to a server that has announced its shutdown since the request arrived. The
 /// second attempt may come seconds after the announcement.
 #[tokio::test]
