Test repeated refusals and answers that are cut at any byte

Nothing was found in gateways: a refusal that a server writes once more is not believed, with the id of the earlier request or without one; an answer that stops at any byte of head or body ends as 502.

--- a/crates/mh_gateway/tests/troubled_servers.rs
+++ b/crates/mh_gateway/tests/troubled_servers.rs
@@ -58,7 +58,9 @@
         for leaves in [false, true] {
             let harness = GatewayHarness::start(&[ENDLESS_BODY]).await;
             if leaves {
-                harness.gateway.leave();
+                harness
+                    .gateway
+                    .leave(tokio::time::Instant::now() + Duration::from_mins(1));
             }
 
             let answer = harness.send(method, path, "").await;
@@ -252,6 +254,53 @@
     }
 }
 
+/// Guards against taking an earlier refusal that the server writes once more for one of the next request, which then
+/// runs although its caller is told that it has not, or runs at a second server too.
+#[tokio::test]
+async fn repeated_refusal_is_not_taken_for_one_of_the_next_request() {
+    let refusal = "HTTP/1.1 503 Busy\r\nmangohook-request-id: ID\r\nmangohook-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let without_id = "HTTP/1.1 503 Busy\r\nmangohook-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    for (first, again) in [(refusal, refusal), (without_id, without_id), (refusal, without_id)] {
+        for delay_ms in [0, 5, 20, 60] {
+            let reply = Reply::Later(first, Duration::from_millis(delay_ms), again);
+            let harness = GatewayHarness::start_with_one_server(&[reply, SLOW_ECHO, SLOW_ECHO]).await;
+            assert_eq!(harness.send("POST", "/pay/000", "").await.status, 503);
+
+            for path in ["/pay/001", "/pay/002"] {
+                let answer = harness.send("POST", path, "").await;
+                let seen = harness.seen();
+                let count = seen
+                    .iter()
+                    .filter(|head| head.starts_with(&format!("POST {path} ")))
+                    .count();
+                match answer.status {
+                    200 => assert_eq!((answer.body, count), (format!("q{path}"), 1)),
+                    502 => assert_eq!(count, 1, "{path} {again:?} {delay_ms}"),
+                    503 => assert_eq!(count, 0, "{path} {again:?} {delay_ms}"),
+                    _ => panic!("{path} {again:?} {answer:?}"),
+                }
+            }
+        }
+    }
+}
+
+/// Guards against passing on a success with an empty or short body, framed as complete, when the server stops within the
+/// head or the body of its answer and closes the connection.
+#[tokio::test]
+async fn an_answer_cut_at_any_byte_is_not_complete() {
+    let whole = "HTTP/1.1 200 OK\r\nstamp: s\r\nmangohook-request-id: q/pay/00\r\ncontent-length: 4\r\n\r\ndone";
+    for len in 1..whole.len() {
+        let harness = GatewayHarness::start_with_one_server(&[Reply::Close(&whole[..len])]).await;
+
+        let answer = harness.send("POST", "/pay/00", "").await;
+
+        assert_eq!(answer.status, 502, "{:?}: {answer:?}", &whole[..len]);
+    }
+    let harness = GatewayHarness::start_with_one_server(&[Reply::Close(whole)]).await;
+    let answer = harness.send("POST", "/pay/00", "").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
+}
+
 /// Guards against taking a connection reset for the clean end of an answer without a length.
 #[tokio::test]
 async fn reset_answer_without_length_is_incomplete() {
