Write settings again that a restored table has lost, in mangohook run

Cause: a VM commits only at the table's revision, and all VMs hold a higher one. VMs that hold the lost changes write them again, under a condition on the head row, and no VM commits while it knows of a later committed revision.

--- a/crates/mh_fresh/src/freshness_tracker.rs
+++ b/crates/mh_fresh/src/freshness_tracker.rs
@@ -93,6 +93,11 @@
         self.unresolved.iter().copied().fold(self.known, Revision::max)
     }
 
+    /// Highest revision that is committed, as far as this VM knows.
+    pub fn highest_committed(&self) -> Revision {
+        self.known
+    }
+
     /// Whether the newest known revision is known to be accepted.
     pub fn is_newest_accepted(&self) -> bool {
         self.known <= self.accepted
--- a/crates/mh_node/src/settings_commit.rs
+++ b/crates/mh_node/src/settings_commit.rs
@@ -81,9 +81,11 @@
             .map(|row| ChangeRow::decode(path.as_str(), &row.value))
             .transpose()?;
         check_revision(req.if_revision, path, found.as_ref())?;
+        // A restored table may lack changes that other VMs hold; they write them back first.
+        let known = lock(&self.freshness).tracker.highest_committed();
         {
             let local_settings = lock(&self.local_settings);
-            if local_settings.revision() != head.revision {
+            if local_settings.revision() != head.revision || known > head.revision {
                 return Ok(None);
             }
             local_settings.settings().check(change)?;
--- a/crates/mh_standin/src/lib.rs
+++ b/crates/mh_standin/src/lib.rs
@@ -31,7 +31,7 @@
 pub use caller::{Caller, Reply};
 pub use dying_server::DyingServer;
 pub use faults::Faults;
-pub use memory_table::MemoryTable;
+pub use memory_table::{MemoryTable, TableCopy};
 pub use platform::Platform;
 pub use ports::free_addrs;
 pub use process::Process;
--- a/crates/mh_standin/src/memory_table.rs
+++ b/crates/mh_standin/src/memory_table.rs
@@ -16,6 +16,13 @@
     rows: BTreeMap<String, Row>,
 }
 
+/// Copy of a table at one moment.
+#[derive(Clone, Debug)]
+pub struct TableCopy {
+    version: u64,
+    rows: BTreeMap<String, Row>,
+}
+
 impl MemoryTable {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -57,6 +64,22 @@
         CommitOutcome::Done { version }
     }
 
+    /// Returns a copy of the table, for [`MemoryTable::restore`].
+    pub fn copy(&self) -> TableCopy {
+        let state = self.state();
+        TableCopy {
+            version: state.version,
+            rows: state.rows.clone(),
+        }
+    }
+
+    /// Restores the table from a copy. Versions that were given out since are given out again.
+    pub fn restore(&self, copy: TableCopy) {
+        let mut state = self.state();
+        state.version = copy.version;
+        state.rows = copy.rows;
+    }
+
     /// Returns the row at `path`.
     pub fn read(&self, path: &str) -> Option<Row> {
         self.state().rows.get(path).cloned()
