--- a/crates/mh_poison/src/record.rs
+++ b/crates/mh_poison/src/record.rs
@@ -18,14 +18,18 @@
 /// common when many servers crash.
 const CRASHES_TO_QUARANTINE: usize = 3;
 
+/// Time within which reports of the same run are about the same crash. Later ones are about a further crash of a server
+/// whose restart the VMs have not read yet.
+const REPORT_TIME: Duration = Duration::from_secs(1);
+
 /// Crashes after which a request is no longer repeated at a second server on behalf of one attempt of its caller.
 const CRASHES_TO_STOP_RETRIES: usize = 2;
 
 /// What is known of one request that was lost in crashes.
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
-    /// Runs of servers that crashed with the request since the last quarantine.
-    crashed: SmallVec<[ServerRun; CRASHES_TO_QUARANTINE]>,
+    /// Crashes with the request since the last quarantine: runs of servers, and when each was reported last.
+    crashed: SmallVec<[(ServerRun, Instant); CRASHES_TO_QUARANTINE]>,
     pub(crate) first_crash_at: Instant,
     pub(crate) last_crash_at: Instant,
     /// End of the latest quarantine.
@@ -84,10 +88,12 @@
     /// Records a crash; returns whether a quarantine begins with it.
     pub(crate) fn on_crash(&mut self, now: Instant, server: ServerRun) -> bool {
         self.last_crash_at = now;
-        if self.crashed.contains(&server) {
+        let same_run = self.crashed.iter_mut().rfind(|(run, _)| *run == server);
+        if let Some((_, reported_at)) = same_run.filter(|(_, at)| now < *at + REPORT_TIME) {
+            *reported_at = now;
             return false;
         }
-        self.crashed.push(server);
+        self.crashed.push((server, now));
         // After a quarantine the first further crash is enough.
         let enough = if self.count == 0 { CRASHES_TO_QUARANTINE } else { 1 };
         // Reports of requests that were sent before the quarantine arrive while it lasts.
--- a/crates/mh_poison/tests/crash_guard.rs
+++ b/crates/mh_poison/tests/crash_guard.rs
@@ -52,6 +52,19 @@
     assert!(guard.admit(now, &deadly).is_ok());
 }
 
+/// Guards against crashes that are taken for one because the VMs have not read yet that the server was restarted.
+#[test]
+fn a_server_that_crashes_again_counts_again() {
+    let (mut guard, now, deadly) = (guard(), Instant::now(), request("/deadly"));
+
+    for n in 0..3 {
+        assert!(guard.admit(now, &deadly).is_ok());
+        crash(&mut guard, now + Duration::from_millis(n * 1200), 1, &[deadly]);
+    }
+
+    assert!(guard.admit(now + Duration::from_millis(2400), &deadly).is_err());
+}
+
 /// Guards against a request that crashes servers again after each quarantine, and against one that is refused for ever
 /// although the servers have been repaired.
 #[test]
