Log how long a failed call for changes has been waiting

E503 did not tell a store that refuses calls from one that never answers them. With waited_ms, 20 s of waiting and 2 s of timeout show as 22000.

--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -132,6 +132,7 @@
                         Event::FeedLost,
                         feed = feed,
                         version = held.unwrap_or_default().held,
+                        waited_ms = (now - started).as_millis(),
                         error = e.current_context()
                     );
                     lost_at = Some(now);
