Send calls for changes again that the store leaves unanswered

Cause: each feed waits for the answer to one call, which asks the store to wait for changes for up to 20 s. A call that arrives while the store is silent is never answered, and looks like one for which there are no changes. Keep-alive does not help, because the connection works. In regions of three and more VMs the settings are read with a wait of 0.55 s, and other VMs take over; two VMs alone, and all other data, had no such bound.

Now a call waits at most half of the bound on settings (1.5 of it for other data), and one without an answer 0.5 s later is sent again while the first may still be answered. When the store answers again, the calls for the other data are sent again too, and the outage counts from the first lost call of any feed, so that entries of live servers that expired in it are kept.

--- a/crates/mh_gateway/src/control/relay.rs
+++ b/crates/mh_gateway/src/control/relay.rs
@@ -31,6 +31,15 @@
 /// Most requests per second from this VM to one other VM; reports arrive a few times per second.
 const MAX_FETCHES_PER_S: u32 = 20;
 
+/// A time in which the store failed calls or left them unanswered.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outage {
+    /// When the first of these calls was sent.
+    pub(crate) lost_at: Instant,
+    /// When the first call was sent that the store answered again.
+    pub(crate) answered_at: Instant,
+}
+
 /// This VM's part in distributing changes of the store within its region.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -45,8 +54,10 @@
     vm_list_version: watch::Sender<Option<StoreVersion>>,
     /// Whether no other VM of the region is considered alive.
     no_live_peers: AtomicBool,
-    /// Number of calls to the store that succeeded after a failed one.
-    recoveries: watch::Sender<u64>,
+    /// When the first call was sent that the store failed or left unanswered in the current outage.
+    lost_at: Mutex<Option<Instant>>,
+    /// The last outage of the store that is over.
+    last_outage: watch::Sender<Option<Outage>>,
     /// Number of restores of the store that this VM has learned of.
     restores: watch::Sender<u64>,
     /// Time of the last failed read of the server registry, after an outage in which entries of live servers expired.
@@ -68,7 +79,8 @@
             catch_up_locks: Default::default(),
             vm_list_version: watch::Sender::new(None),
             no_live_peers: AtomicBool::new(false),
-            recoveries: watch::Sender::new(0),
+            lost_at: Mutex::default(),
+            last_outage: watch::Sender::new(None),
             restores: watch::Sender::new(0),
             registry_down_at: Mutex::default(),
         }
@@ -171,19 +183,27 @@
         let _ = self.is_reader.subscribe().wait_for(|is_reader| *is_reader).await;
     }
 
+    /// Returns whether this VM's last read of `feed` failed.
+    pub(crate) fn is_failing(&self, feed: Feed) -> bool {
+        lock(&self.feeds).is_failing(feed)
+    }
+
     /// Returns the longest wait of a call for changes of `feed`. Calls for the settings are short where other VMs rely
     /// on this one, since each one shows that the store can be reached.
-    pub(crate) fn poll_wait(&self, feed: Feed, longest: Duration) -> Duration {
+    ///
+    /// No call waits long: one that the store never answers looks like one for which there are no changes.
+    pub(crate) fn poll_wait(&self, feed: Feed) -> Duration {
         // An immediate answer shows whether the feed can be read again; this VM reports to others only after that.
-        if lock(&self.feeds).is_failing(feed) {
+        if self.is_failing(feed) {
             return Duration::ZERO;
         }
         let election = lock(&self.election);
         let tells_others = !election.all_vms_read() && !self.no_live_peers.load(Ordering::Relaxed);
-        if feed == Feed::Settings && tells_others {
-            election.timings().max_read_wait
-        } else {
-            longest
+        let timings = election.timings();
+        match feed {
+            Feed::Settings if tells_others => timings.max_read_wait,
+            Feed::Settings => timings.lone_read_wait,
+            Feed::Servers | Feed::Shifts | Feed::Vms => timings.slow_read_wait,
         }
     }
 
@@ -217,9 +237,6 @@
     /// Records the outcome of a call of this VM to the store; returns whether calls began to fail with it.
     fn record_read(&self, feed: Feed, succeeded: bool, now: Instant) -> bool {
         let was_failing = lock(&self.feeds).set_failing(feed, !succeeded);
-        if succeeded && was_failing {
-            self.recoveries.send_modify(|count| *count += 1);
-        }
         if !succeeded {
             let mut election = lock(&self.election);
             election.on_read_failed(now);
@@ -228,10 +245,36 @@
         !succeeded && !was_failing
     }
 
-    /// Waits until a call to the store succeeds after a failed one.
-    pub(crate) async fn store_recovered(&self) {
+    /// Records that the store failed a call that was sent at `sent_at`, or has not answered it in time.
+    pub(crate) fn on_call_lost(&self, sent_at: Instant) {
+        let mut lost_at = lock(&self.lost_at);
+        *lost_at = Some(lost_at.map_or(sent_at, |at| at.min(sent_at)));
+    }
+
+    /// Forgets the calls that were lost, because this VM no longer reads the store.
+    pub(crate) fn clear_lost_calls(&self) {
+        *lock(&self.lost_at) = None;
+    }
+
+    /// Records that the store answered a call sent at `answered_at` after one sent at `lost_at` was lost; returns when
+    /// the first call of any feed was lost.
+    pub(crate) fn on_answered_again(&self, lost_at: Instant, answered_at: Instant) -> Instant {
+        let first_lost_at = lock(&self.lost_at).take();
+        let lost_at = first_lost_at.map_or(lost_at, |at| at.min(lost_at));
+        self.last_outage.send_replace(Some(Outage { lost_at, answered_at }));
+        lost_at
+    }
+
+    /// Waits until an outage of the store is over that may have lost a call sent at `sent_at`.
+    pub(crate) async fn outage_over(&self, sent_at: Instant) -> Outage {
+        let mut last_outage = self.last_outage.subscribe();
+        let is_later = |outage: &Option<Outage>| outage.is_some_and(|outage| outage.answered_at > sent_at);
+        let outage = last_outage.wait_for(is_later).await.ok().and_then(|outage| *outage);
         // The sender lives as long as this value, so the wait does not fail.
-        let _ = self.recoveries.subscribe().changed().await;
+        outage.unwrap_or(Outage {
+            lost_at: sent_at,
+            answered_at: sent_at,
+        })
     }
 
     /// Records `at`, the time of the last failed read of the server registry, after an outage long enough for entries
--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -11,6 +11,7 @@
 use crate::control::datagram::decode;
 use crate::control::encode;
 use crate::control::reader_report::{FetchResponse, ReaderReport};
+use crate::control::repeated_read::read_changes;
 use crate::node::{GatewayNode, lock};
 use crate::request::increment;
 use crate::{Batch, ChangesRead, Feed};
@@ -147,7 +148,7 @@
     /// Reads the changes of `feed` from the store without waiting, in parallel with the calls that wait for changes.
     async fn read_once(&self, feed: Feed) -> mh_platform::Result<()> {
         let held = self.relay.versions(feed).unwrap_or_default().held;
-        let (batch, is_whole) = match self.source.changes(feed, held, Duration::ZERO).await? {
+        let (batch, is_whole) = match read_changes(self, feed, held, Duration::ZERO, true).await.result? {
             ChangesRead::Changes(batch) => (batch, false),
             ChangesRead::HistoryLost { era } => {
                 self.relay.note_era(era);
--- a/crates/mh_gateway/tests/relay.rs
+++ b/crates/mh_gateway/tests/relay.rs
@@ -2,154 +2,17 @@
 
 #[path = "fixtures/mod.rs"]
 mod fixtures;
+#[path = "fleet/mod.rs"]
+mod fleet;
 mod store;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use mh_edge::CallerPort;
-use mh_gateway::{
-    AnnouncedVm, BoundSettings, Feed, GatewayListen, GatewayNode, GatewaySettings, HeaderNames, Interface, LookupQuery,
-    Update,
-};
+use fleet::{Fleet, LARGE_REGION_VMS, SMALL_REGION_VMS, settings, start_vm, wait_until};
+use mh_gateway::{AnnouncedVm, Feed, Update};
 use mh_poison::{Fingerprint, ServerRun};
-use mh_types::{Code, VmName};
 use store::MemoryStore;
 
-/// Number of VMs of a region that is too small for starting VMs to load feeds from others.
-const SMALL_REGION_VMS: usize = 6;
-
-/// Number of VMs of a region in which starting VMs load feeds from others.
-const LARGE_REGION_VMS: usize = 10;
-
-/// Timeout of waits for an expected state.
-const TIMEOUT: Duration = Duration::from_mins(1);
-
-#[derive(Debug)]
-struct PlainInterface;
-
-impl Interface for PlainInterface {
-    fn lookup_path(&self) -> &'static str {
-        "/lookup"
-    }
-
-    fn ready_path(&self) -> &'static str {
-        "/ready"
-    }
-
-    fn lookup_query(&self, _query: &str) -> LookupQuery {
-        LookupQuery { region: None }
-    }
-
-    fn lookup_answer(&self, _vms: &[SocketAddr], _lifetime: Duration) -> Bytes {
-        Bytes::new()
-    }
-}
-
-struct Fleet {
-    store: MemoryStore,
-    vms: Vec<Arc<GatewayNode>>,
-}
-
-impl Fleet {
-    async fn start() -> Self {
-        Self::start_with(SMALL_REGION_VMS).await
-    }
-
-    async fn start_with(count: usize) -> Self {
-        let store = MemoryStore::new();
-        store.put(Feed::Settings, Update::Plan(fixtures::plan(1).into()));
-        let mut vms = Vec::new();
-        for n in 0..count {
-            let (node, caller_port) = start_vm(&store, n).await;
-            // Keeps the port open until the test's runtime ends.
-            std::mem::forget(caller_port);
-            vms.push(node);
-        }
-        Self { store, vms }
-    }
-
-    /// Waits until every VM serves `revision`.
-    async fn wait_for_revision(&self, revision: u64) {
-        wait_until(|| {
-            self.vms.iter().all(|vm| {
-                let live = vm.gateway().live();
-                live.ready && live.plan.as_ref().is_some_and(|plan| plan.revision.0 == revision)
-            })
-        })
-        .await;
-    }
-
-    /// Waits until at most `count` VMs call the store within two seconds; returns them.
-    async fn wait_for_readers(&self, count: usize) -> Vec<VmName> {
-        let end = tokio::time::Instant::now() + TIMEOUT;
-        loop {
-            self.store.take_calls();
-            tokio::time::sleep(Duration::from_secs(2)).await;
-            let calls = self.store.take_calls();
-            if !calls.is_empty() && calls.len() <= count {
-                return calls.into_keys().collect();
-            }
-            assert!(tokio::time::Instant::now() < end, "{calls:?}");
-        }
-    }
-}
-
-/// Starts a VM. Another process may take a free port before it is bound, so several attempts are made.
-async fn start_vm(store: &MemoryStore, n: usize) -> (Arc<GatewayNode>, CallerPort) {
-    for _ in 0..20 {
-        let cfg = settings(n);
-        let source = Arc::new(store.source(&cfg.vm));
-        let started = GatewayNode::start(cfg, HeaderNames::default(), Arc::new(PlainInterface), source).await;
-        match started {
-            Ok(started) => return started,
-            Err((Code::BindFailed, _)) => {}
-            Err((code, detail)) => panic!("{code} {detail}"),
-        }
-    }
-    panic!("no free loopback ports");
-}
-
-fn settings(n: usize) -> GatewaySettings {
-    let port = || -> SocketAddr {
-        // The UDP port with the same number is free too, as no other part of the tests uses UDP.
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port");
-        listener.local_addr().expect("a bound address")
-    };
-    let domain = if n.is_multiple_of(2) { "a" } else { "b" };
-    GatewaySettings {
-        vm: format!("vm-{n}").as_str().into(),
-        domain: domain.into(),
-        region: "north".into(),
-        listen: GatewayListen {
-            callers: port(),
-            health: port(),
-            lookups: port(),
-            peers: port(),
-        },
-        threads: 1,
-        memory_mb: 128,
-        first_start: false,
-        descriptors: 256,
-        regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
-        promises: BoundSettings::default(),
-        log: log::LevelFilter::Off,
-    }
-}
-
-async fn wait_until(mut condition: impl FnMut() -> bool) {
-    let end = tokio::time::Instant::now() + TIMEOUT;
-    while !condition() {
-        assert!(
-            tokio::time::Instant::now() < end,
-            "timed out waiting for the expected state"
-        );
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Guards against store calls that grow with the number of VMs, for example 85, instead of the number of regions.
 #[tokio::test]
 async fn two_vms_read_for_their_region() {
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -1,4 +1,5 @@
-//! In-memory store that counts the calls of each VM and can refuse the calls of some VMs.
+//! In-memory store that counts the calls of each VM, and can refuse the calls of some VMs or leave calls unanswered.
+#![allow(dead_code, reason = "each test file uses a part of the fixture")]
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -11,6 +12,9 @@
 use mh_types::{Code, ServiceName, StoreVersion, VmName};
 use tokio::sync::watch;
 
+/// Timeout of a call, in addition to the time that it asks the store to wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 #[derive(Default)]
 struct State {
     /// Number of restores so far.
@@ -21,6 +25,8 @@
     /// All updates with their versions, in order.
     updates: Vec<(Feed, u64, Update)>,
     refused: HashSet<VmName>,
+    /// Whether calls that arrive are never answered. Calls that are already waiting are not affected.
+    is_silent: bool,
     calls: BTreeMap<VmName, usize>,
 }
 
@@ -28,7 +34,7 @@
 #[derive(Clone)]
 pub struct MemoryStore {
     state: Arc<Mutex<State>>,
-    changed: watch::Sender<u64>,
+    changed: watch::Sender<()>,
 }
 
 /// One VM's connection to the store.
@@ -47,7 +53,7 @@
     pub fn new() -> Self {
         Self {
             state: Arc::default(),
-            changed: watch::Sender::new(0),
+            changed: watch::Sender::new(()),
         }
     }
 
@@ -59,12 +65,16 @@
     }
 
     pub fn put(&self, feed: Feed, update: Update) {
-        let version = self.with_state(|state| {
+        self.put_unseen(feed, update);
+        self.changed.send_modify(|()| {});
+    }
+
+    /// Writes without waking the calls that wait for changes.
+    pub fn put_unseen(&self, feed: Feed, update: Update) {
+        self.with_state(|state| {
             state.version += 1;
             state.updates.push((feed, state.version, update));
-            state.version
         });
-        self.changed.send_replace(version);
     }
 
     /// Returns the number of the newest version.
@@ -79,7 +89,7 @@
             state.version = version;
             state.updates.retain(|(_, written_at, _)| *written_at <= version);
         });
-        self.changed.send_modify(|_| {});
+        self.changed.send_modify(|()| {});
     }
 
     /// Returns the VMs that the store lists.
@@ -116,7 +126,12 @@
     pub fn refuse(&self, vm: &VmName) {
         self.with_state(|state| state.refused.insert(vm.clone()));
         // Wakes waiting calls, so that they fail too.
-        self.changed.send_modify(|_| {});
+        self.changed.send_modify(|()| {});
+    }
+
+    /// Sets whether calls that arrive from now on are left unanswered.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.with_state(|state| state.is_silent = is_silent);
     }
 
     /// Returns the calls of each VM since the last time.
@@ -124,17 +139,24 @@
         self.with_state(|state| std::mem::take(&mut state.calls))
     }
 
+    fn count_call(&self, vm: &VmName) {
+        self.with_state(|state| *state.calls.entry(vm.clone()).or_default() += 1);
+    }
+
     fn with_state<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
         f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
 impl VmSource {
-    fn call<T>(&self, f: impl FnOnce(&mut State) -> T) -> Result<T> {
-        self.store.with_state(|state| {
-            *state.calls.entry(self.vm.clone()).or_default() += 1;
-            self.check(state).map(|()| f(state))
-        })
+    /// Makes a call that asks the store to wait up to `wait`; `f` runs when the call arrives.
+    async fn call<T>(&self, wait: Duration, f: impl FnOnce(&mut State) -> T) -> Result<T> {
+        self.store.count_call(&self.vm);
+        if self.store.with_state(|state| state.is_silent) {
+            tokio::time::sleep(wait + CALL_TIMEOUT).await;
+            return Err(Report::new(PlatformError(Code::TableTimeout)));
+        }
+        self.store.with_state(|state| self.check(state).map(|()| f(state)))
     }
 
     fn check(&self, state: &State) -> Result<()> {
@@ -173,14 +195,14 @@
 
 impl Source for VmSource {
     fn read(&self, feed: Feed) -> BoxFuture<'_, Result<Batch>> {
-        Box::pin(async move { self.call(|state| batch(state, feed, 0)) })
+        Box::pin(async move { self.call(Duration::ZERO, |state| batch(state, feed, 0)).await })
     }
 
     fn changes(&self, feed: Feed, version: StoreVersion, wait: Duration) -> BoxFuture<'_, Result<ChangesRead>> {
         Box::pin(async move {
             let mut changed = self.store.changed.subscribe();
-            self.call(|_| ())?;
             let end = tokio::time::Instant::now() + wait;
+            self.call(wait, |_| ()).await?;
             loop {
                 let read = self.since(feed, version)?;
                 let is_empty = matches!(&read, ChangesRead::Changes(batch) if batch.updates.is_empty());
@@ -193,7 +215,7 @@
 
     fn announce<'a>(&'a self, vm: &'a AnnouncedVm) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(|_| ())?;
+            self.call(Duration::ZERO, |_| ()).await?;
             self.store.put(Feed::Vms, Update::Vm(vm.vm.clone(), Some(vm.clone())));
             Ok(())
         })
@@ -201,7 +223,7 @@
 
     fn withdraw<'a>(&'a self, vm: &'a VmName) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(|_| ())?;
+            self.call(Duration::ZERO, |_| ()).await?;
             self.store.put(Feed::Vms, Update::Vm(vm.clone(), None));
             Ok(())
         })
@@ -209,7 +231,7 @@
 
     fn record_quarantine<'a>(&'a self, quarantine: &'a StoredQuarantine) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(|_| ())?;
+            self.call(Duration::ZERO, |_| ()).await?;
             let update = Update::Quarantine(quarantine.fingerprint, Some(quarantine.clone()));
             self.store.put(Feed::Vms, update);
             Ok(())
@@ -218,7 +240,7 @@
 
     fn remove_quarantine<'a>(&'a self, fingerprint: &'a Fingerprint) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(|_| ())?;
+            self.call(Duration::ZERO, |_| ()).await?;
             self.store.put(Feed::Vms, Update::Quarantine(*fingerprint, None));
             Ok(())
         })
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -82,6 +82,7 @@
     StoreWriteFailed = 506, Warn, "A write to the store failed.";
     RowUnreadable = 507, Warn, "A row of the store could not be read; it is passed over.";
     StoreRestored = 508, Warn, "The store was restored from an older copy; everything is read again.";
+    FeedUnanswered = 509, Warn, "The store has not answered a call for changes in time; it is sent again.";
     PeerFailed = 600, Warn, "A peer VM could not be reached.";
     PeerJoined = 601, Info, "A peer VM answers.";
     PeerMessageInvalid = 602, Warn, "A peer's message could not be decoded.";
