Relay connections to servers through other VMs while the own links are cut

Cause: such a VM knew no other way to a server, and booked the fault of its own links to each server.

Now a VM that reaches none of three servers at once opens its connections through another VM (CONNECT), which passes bytes on and only to listed servers, never through a third VM. The VM that has the caller goes on deciding about quota, server and whether a request ran, so nothing runs twice; a reset stays a reset. If no VM can help, requests are refused at once as not run (1025). Connections to servers have TCP_USER_TIMEOUT, so that requests on connections that died in the cut end in time; it, not the number of probes, ends a connection on Linux, and a comment that said otherwise is corrected.

--- a/crates/mh_edge/src/backends.rs
+++ b/crates/mh_edge/src/backends.rs
@@ -141,6 +141,7 @@
                 .filter(|c| c.addr() == server.addr);
             let fresh = || {
                 Arc::new(ConnectionPool::new(
+                    server.name.clone(),
                     server.addr,
                     server.connections.min(MAX_IDLE_CONNECTIONS) as usize,
                 ))
--- a/crates/mh_edge/src/connection_pool.rs
+++ b/crates/mh_edge/src/connection_pool.rs
@@ -10,11 +10,11 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use mh_types::Code;
-use tokio::net::TcpStream;
+use mh_types::{Code, ServerName};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::dial::{ConnectionPath, Dial, Dialed};
 use crate::head_limited_stream::{HeadLimit, HeadLimitedStream, MAX_HEAD_BYTES};
 use crate::upload::Upload;
 
@@ -42,6 +42,7 @@
 /// Pool of idle connections to one backend server, shared by all threads without a lock.
 #[derive(Debug)]
 pub struct ConnectionPool {
+    server: ServerName,
     addr: SocketAddr,
     idle: ArrayQueue<IdleConnection>,
     created: Instant,
@@ -53,6 +54,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Upload>,
+    path: ConnectionPath,
     task: ConnectionTask,
     head_limit: Arc<HeadLimit>,
     idle_since: Instant,
@@ -74,6 +76,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Upload>,
+    path: ConnectionPath,
     /// Whether an earlier request used this connection.
     pub reused: bool,
     /// Duration of the connect; `None` for a reused connection.
@@ -97,9 +100,10 @@
 }
 
 impl ConnectionPool {
-    /// Creates a pool for `addr` that keeps at most `max_idle` idle connections.
-    pub fn new(addr: SocketAddr, max_idle: usize) -> Self {
+    /// Creates a pool for `server` at `addr` that keeps at most `max_idle` idle connections.
+    pub fn new(server: ServerName, addr: SocketAddr, max_idle: usize) -> Self {
         Self {
+            server,
             addr,
             idle: ArrayQueue::new(max_idle.max(1)),
             created: Instant::now(),
@@ -126,25 +130,27 @@
         self.created.elapsed().as_millis() as u64
     }
 
-    /// Takes a connection that was idle for at most `max_idle_time`, or opens a new one. Connections to a suspect
-    /// server are never reused.
+    /// Takes a connection that was idle for at most `max_idle_time`, or opens a new one with `dial`. Connections to a
+    /// suspect server are never reused.
     ///
     /// # Errors
     ///
-    /// [`Code::ConnectFailed`] when no connection can be opened in time.
+    /// [`Code::ConnectFailed`] when no connection can be opened in time; other codes of `dial`.
     pub async fn take(
         self: &Arc<Self>,
+        dial: &dyn Dial,
         connect_timeout: Duration,
         max_idle_time: Duration,
     ) -> Result<Connection, Code> {
         while let Some(mut idle) = self.idle.pop() {
-            if self.is_suspect() || !idle.is_usable(max_idle_time) {
+            if self.is_suspect() || !idle.is_usable(max_idle_time) || !dial.may_reuse(&idle.path) {
                 continue;
             }
             let ready = tokio::time::timeout(READY_TIMEOUT, idle.sender.ready()).await;
             if ready.is_ok_and(|ready| ready.is_ok()) {
                 return Ok(Connection {
                     sender: idle.sender,
+                    path: idle.path,
                     reused: true,
                     connect_time: None,
                     head_limit: idle.head_limit,
@@ -153,27 +159,27 @@
                 });
             }
         }
-        self.open(connect_timeout).await
+        self.open(dial, connect_timeout).await
     }
 
-    /// Opens a new connection.
+    /// Opens a new connection with `dial`.
     ///
     /// # Errors
     ///
-    /// [`Code::ConnectFailed`] when no connection can be opened in time.
-    pub async fn open(self: &Arc<Self>, connect_timeout: Duration) -> Result<Connection, Code> {
+    /// [`Code::ConnectFailed`] when no connection can be opened in time; other codes of `dial`.
+    pub async fn open(self: &Arc<Self>, dial: &dyn Dial, connect_timeout: Duration) -> Result<Connection, Code> {
         let started = Instant::now();
         let head_limit = Arc::new(HeadLimit::default());
         let stream_limit = Arc::clone(&head_limit);
         let connect = async {
-            let stream = TcpStream::connect(self.addr).await.map_err(|_| Code::ConnectFailed)?;
-            stream.set_nodelay(true).map_err(|_| Code::ConnectFailed)?;
+            let Dialed { stream, path } = dial.dial(&self.server, self.addr).await?;
             let mut builder = Builder::new();
             builder.max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
             let stream = TokioIo::new(HeadLimitedStream::new(stream, stream_limit));
-            builder.handshake(stream).await.map_err(|_| Code::ConnectFailed)
+            let (sender, connection) = builder.handshake(stream).await.map_err(|_| Code::ConnectFailed)?;
+            Ok::<_, Code>((sender, connection, path))
         };
-        let (sender, connection) = tokio::time::timeout(connect_timeout, connect)
+        let (sender, connection, path) = tokio::time::timeout(connect_timeout, connect)
             .await
             .map_err(|_| Code::ConnectFailed)??;
         let pool = Arc::clone(self);
@@ -185,6 +191,7 @@
         });
         Ok(Connection {
             sender,
+            path,
             reused: false,
             connect_time: Some(started.elapsed()),
             head_limit,
@@ -202,6 +209,11 @@
 }
 
 impl Connection {
+    /// Returns whether another VM passes the bytes of this connection on.
+    pub fn is_relayed(&self) -> bool {
+        self.path != ConnectionPath::Direct
+    }
+
     /// Sends a request and waits for the response head until `until`; `None` on timeout.
     ///
     /// A head must be complete within `head_timeout` of its first byte and must not exceed a fixed size, because a
@@ -252,6 +264,7 @@
             // A full queue rejects the connection, which closes it.
             let _ = self.pool.idle.push(IdleConnection {
                 sender: self.sender,
+                path: self.path,
                 head_limit: self.head_limit,
                 task: self.task,
                 idle_since: Instant::now(),
--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -19,6 +19,7 @@
 use crate::backends::{PickedServer, ServerRequirements};
 use crate::connection_pool::{ANY_IDLE_TIME, Connection};
 use crate::deadline::Deadline;
+use crate::dial::DirectDial;
 use crate::headers::{DEADLINE_HEADER, REQUEST_ID_HEADER, bearer_key, strip_hop_by_hop, strip_private};
 use crate::operations::{OperationRunner, read_answer};
 use crate::refusal::Refusal;
@@ -97,7 +98,11 @@
             tried.push(picked.name().clone());
             // The server may close an idle connection during the send, which is indistinguishable from a connection
             // loss after the operation ran. A new connection costs one round trip and avoids this ambiguity.
-            match picked.connections().open(forwarder.connect_timeout()).await {
+            match picked
+                .connections()
+                .open(&DirectDial, forwarder.connect_timeout())
+                .await
+            {
                 Ok(connection) => break (picked, connection),
                 Err(code) if forwarder.is_last(&tried) => {
                     let failure = forwarder.fail(picked, Outcome::Failed, Failure { code, run: Run::NotRun });
@@ -294,7 +299,11 @@
         parts: &Parts,
         upload: Upload,
     ) -> Result<Response<ResponseBody>, Failure> {
-        match picked.connections().take(self.connect_timeout(), ANY_IDLE_TIME).await {
+        match picked
+            .connections()
+            .take(&DirectDial, self.connect_timeout(), ANY_IDLE_TIME)
+            .await
+        {
             Ok(connection) => self.exchange(picked, connection, parts, upload).await,
             Err(code) => Err(self.fail(picked, Outcome::Failed, Failure { code, run: Run::NotRun })),
         }
@@ -327,7 +336,7 @@
             && let Some(Err(e)) = &mut sent
             && let Some(req) = e.take_message()
         {
-            connection = match picked.connections().open(self.connect_timeout()).await {
+            connection = match picked.connections().open(&DirectDial, self.connect_timeout()).await {
                 Ok(connection) => connection,
                 Err(code) => return Err(self.fail(picked, Outcome::Failed, Failure { code, run: Run::NotRun })),
             };
@@ -338,7 +347,7 @@
         {
             // The server closed the idle connection during the send. Only idempotent requests reuse connections, so the
             // same server may receive the request twice.
-            connection = match picked.connections().open(self.connect_timeout()).await {
+            connection = match picked.connections().open(&DirectDial, self.connect_timeout()).await {
                 Ok(connection) => connection,
                 Err(code) => {
                     self.record_loss(&picked);
--- a/crates/mh_edge/src/poison_gate.rs
+++ b/crates/mh_edge/src/poison_gate.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use mh_poison::{AnsweredTable, CrashGuard, Fingerprint, Msg, Outbox, Quarantined, ServerRun};
-use mh_types::{Event, ServerName, VmName, emit};
+use mh_types::{Code, Event, ServerName, VmName, emit};
 use tokio::time::Instant;
 
-use crate::{ConnectionPool, CrashPeers};
+use crate::{ConnectionPool, CrashPeers, Dial, DirectDial};
 
 /// Time in which further requests that were lost in the same crash are collected.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
@@ -34,6 +34,7 @@
     /// Requests that were lost at a server since the last check whether it is up.
     lost: Mutex<HashMap<LostAt, Vec<Fingerprint>>>,
     peers: OnceLock<Arc<dyn CrashPeers>>,
+    dial: OnceLock<Arc<dyn Dial>>,
 }
 
 impl PoisonGate {
@@ -45,9 +46,16 @@
             answered: AnsweredTable::new(Instant::now()),
             lost: Mutex::default(),
             peers: OnceLock::new(),
+            dial: OnceLock::new(),
         }
     }
 
+    /// Sets how servers that may have crashed are contacted; by default each is connected to.
+    pub fn set_dial(&self, dial: Arc<dyn Dial>) {
+        // A second call has no effect.
+        let _ = self.dial.set(dial);
+    }
+
     /// Runs `f` with the decision state, and logs which requests it quarantines or releases.
     pub fn with<T>(&self, f: impl FnOnce(&mut CrashGuard, &AnsweredTable) -> T) -> T {
         let mut guard = lock(&self.guard);
@@ -137,12 +145,14 @@
 
     async fn check_crash(&self, lost_at: LostAt, connections: &Arc<ConnectionPool>) {
         tokio::time::sleep(COLLECT_TIME).await;
-        let is_up = match connections.open(PROBE_TIMEOUT).await {
+        let dial: &dyn Dial = self.dial.get().map_or(&DirectDial, Arc::as_ref);
+        let is_up = match connections.open(dial, PROBE_TIMEOUT).await {
             Ok(connection) => {
                 connection.release();
                 true
             }
-            Err(_) => false,
+            // A VM that reaches no server knows nothing about this one.
+            Err(code) => code == Code::NoPath,
         };
         let lost = lock(&self.lost).remove(&lost_at).unwrap_or_default();
         if is_up {
--- a/crates/mh_edge/tests/poison_gate.rs
+++ b/crates/mh_edge/tests/poison_gate.rs
@@ -16,7 +16,7 @@
     let gate = Arc::new(PoisonGate::new("vm".into()));
     let request = Fingerprint::of(&[b"request"]);
     for server in ["s1", "s2", "s3", "s4", "s5"] {
-        let connections = Arc::new(ConnectionPool::new(addr, 1));
+        let connections = Arc::new(ConnectionPool::new("s".into(), addr, 1));
         gate.on_lost(&server.into(), Some(1), &connections, request);
     }
     tokio::time::sleep(CHECK_TIME).await;
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -49,7 +49,7 @@
 pub use node::{GatewayNode, StopOutcome, run_until_signal};
 pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, UnreadableParts};
 pub use quota_peers::QuotaPeers;
-pub use request::{Counters, Gateway, LimitGate};
+pub use request::{Counters, Gateway, LimitGate, ServerPaths};
 pub use service_backends::ServiceBackends;
 pub use settings::{BoundSettings, GatewayListen, GatewaySettings};
 pub use shift_phase::ShiftPhase;
--- a/crates/mh_gateway/src/node.rs
+++ b/crates/mh_gateway/src/node.rs
@@ -4,6 +4,7 @@
 mod node_peers;
 mod pending_replies;
 mod ports;
+mod relay_port;
 mod shutdown;
 mod state_dump;
 mod supervise;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -68,6 +68,8 @@
     next_clean_up: Mutex<Option<Instant>>,
     epoch: watch::Sender<u64>,
     rebuilds: AtomicU64,
+    /// Connections to backend servers that this VM relays for others.
+    pub(super) relaying: AtomicUsize,
 }
 
 /// Locks a mutex, also after another thread has panicked while it held the lock.
@@ -133,6 +135,7 @@
             next_clean_up: Mutex::default(),
             epoch: watch::Sender::new(0),
             rebuilds: AtomicU64::new(0),
+            relaying: AtomicUsize::new(0),
             cfg,
         });
         node.gateway
@@ -157,7 +160,7 @@
         let membership_node = Arc::clone(&node);
         supervise("members", move || run_membership(Arc::clone(&membership_node)));
         ports::serve_health(health, Arc::clone(&node));
-        ports::serve_changes(changes, Arc::clone(&node));
+        ports::serve_peers(changes, Arc::clone(&node));
         ports::serve_lookups(lookups, Arc::clone(&node));
         let caller_port = ports::serve_callers(callers, &node).map_err(bind_failed(listen.callers))?;
         emit!(
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -57,6 +57,17 @@
             |c| &c.full,
         ),
         counter("connects", "Connections made to backend servers", |c| &c.connects),
+        counter("relayed", "Connections to backend servers through other VMs", |c| {
+            &c.relayed
+        }),
+        counter(
+            "relayed_for_others",
+            "Connections to backend servers for other VMs",
+            |c| &c.relayed_for_others,
+        ),
+        gauge("cut_off", "Whether this VM reaches no backend server itself", |node| {
+            u64::from(node.gateway.paths().is_cut_off())
+        }),
         counter("lookups", "Look-ups answered", |c| &c.lookups),
         counter("store_reads", "Calls for changes that the store answered", |c| {
             &c.store_reads
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -8,13 +8,14 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mh_edge::{CallerPort, PortLimits, serve_with};
+use mh_edge::{CallerPort, PortLimits, serve_with, set_options};
 use mh_platform::BoxFuture;
 use mh_types::{Event, RegionName, emit};
 use tokio::net::TcpListener;
 use tokio::time::Duration;
 
 use super::GatewayNode;
+use super::relay_port::handle_connect;
 use super::state_dump::state_dump;
 use crate::control::{CHANGES_PATH, parse_changes_query};
 use crate::request::count_lookup;
@@ -89,10 +90,16 @@
     text_response(status, String::new())
 }
 
-/// Serves feed changes to other VMs of the region.
-pub(super) fn serve_changes(listener: TcpListener, node: Arc<GatewayNode>) {
+/// Serves feed changes to other VMs of the region, and connections to backend servers to VMs that are cut off from them.
+pub(super) fn serve_peers(listener: TcpListener, node: Arc<GatewayNode>) {
     tokio::spawn(serve_port(listener, node, |node, req| {
-        Box::pin(async move { handle_changes(&node, &req).await })
+        Box::pin(async move {
+            if req.method() == Method::CONNECT {
+                handle_connect(&node, req).await
+            } else {
+                handle_changes(&node, &req).await
+            }
+        })
     }));
 }
 
@@ -171,7 +178,9 @@
         });
         let mut builder = hyper::server::conn::http1::Builder::new();
         builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        // A connection without these options works too.
+        let _ = set_options(&stream);
+        let connection = builder.serve_connection(TokioIo::new(stream), service).with_upgrades();
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 emit!(Event::ConnectionFailed, error = e);
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -50,6 +50,7 @@
         "revision": live.plan.as_ref().map(|plan| plan.revision),
         "unreadable": unreadable,
         "reads": node.relay.is_reader(),
+        "cut_off": node.gateway.paths().is_cut_off(),
         "usable_vms": live.vms.len(),
         "listed_vms": lock(&node.deployment).vms().count(),
         "sharing_vms": node.sharing_vms(),
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -60,9 +60,19 @@
 ) -> Result<ServerAnswer, Failure> {
     let server = placement.spec().name.clone();
     let attempt = Attempt::new();
+    let connecting_since = Instant::now();
     let connection = match connect(cx, &placement, counters).await {
         Ok(connection) => connection,
-        Err(code) => return Err(end_attempt(cx, placement, Outcome::Failed, attempt.not_run(code))),
+        Err(code) => {
+            // Without a path to any server, nothing is known about this one.
+            let has_timed_out = connecting_since.elapsed() >= CONNECT_TIMEOUT;
+            let outcome = if code == Code::NoPath || (has_timed_out && cx.paths.is_cut_off()) {
+                Outcome::Cancelled
+            } else {
+                Outcome::Failed
+            };
+            return Err(end_attempt(cx, placement, outcome, attempt.not_run(code)));
+        }
     };
     if cx.remaining().is_zero() {
         return Err(end_attempt(
@@ -100,12 +110,15 @@
         }
         Err((failure, outcome)) => {
             // The caller aborted its body, which says nothing about the server.
-            let outcome = if body.caller_fault().is_some() {
+            let is_caller_fault = body.caller_fault().is_some();
+            // While this VM is cut off, the connection broke and not the server.
+            let is_path_fault = !connection.is_relayed() && cx.paths.is_cut_off();
+            let outcome = if is_caller_fault || is_path_fault {
                 Outcome::Cancelled
             } else {
                 outcome
             };
-            if outcome == Outcome::Failed && failure.run() == Run::Unknown {
+            if outcome != Outcome::TimedOut && !is_caller_fault && failure.run() == Run::Unknown {
                 cx.record_loss(&placement);
             }
             Err(end_attempt(cx, placement, outcome, failure))
@@ -121,7 +134,7 @@
         MAX_IDLE_NON_IDEMPOTENT
     };
     let limit = CONNECT_TIMEOUT.min(cx.remaining());
-    let connection = connections.take(limit, max_idle_time).await?;
+    let connection = connections.take(&cx.dialer(), limit, max_idle_time).await?;
     if let Some(connect_time) = connection.connect_time {
         increment(&counters.connects);
         placement.connected(connect_time);
@@ -159,7 +172,10 @@
     else {
         return (Err((attempt.not_run(Code::ConnectFailed), Outcome::Failed)), connection);
     };
-    let mut fresh = match connections.open(CONNECT_TIMEOUT.min(cx.remaining())).await {
+    let mut fresh = match connections
+        .open(&cx.dialer(), CONNECT_TIMEOUT.min(cx.remaining()))
+        .await
+    {
         Ok(fresh) => fresh,
         Err(code) => return (Err((attempt.not_run(code), Outcome::Failed)), connection),
     };
@@ -179,7 +195,16 @@
     req: Request<Upload>,
 ) -> Option<Result<Response<Incoming>, TrySendError<Request<Upload>>>> {
     let head_timeout = (cx.remaining() / HEAD_TIME_DIVISOR).clamp(MIN_HEAD_TIMEOUT, MAX_HEAD_TIMEOUT);
-    connection.send(req, cx.answer_by(), head_timeout).await
+    let may_give_up = cx.route.kind.may_repeat() && !connection.is_relayed();
+    tokio::select! {
+        sent = connection.send(req, cx.answer_by(), head_timeout) => {
+            if matches!(sent, Some(Ok(_))) {
+                cx.paths.on_answer();
+            }
+            sent
+        }
+        () = cx.paths.silenced(), if may_give_up => None,
+    }
 }
 
 /// Reads the answer and validates that it belongs to this request.
--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -22,6 +22,9 @@
 /// VM.
 const MAX_FULL_SERVERS: usize = 8;
 
+/// `Retry-After` of refusals while this VM reaches no server.
+const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Results of the earlier attempts at one request.
 #[derive(Default)]
 struct AttemptHistory {
@@ -89,6 +92,9 @@
                 let unreachable = failure.run() == Run::NotRun && failure.code() == Code::ConnectFailed;
                 history.sent += u32::from(!unreachable);
                 history.may_have_run |= failure.run() == Run::Unknown;
+                if failure.code() == Code::NoPath {
+                    return history.finish(cx, None);
+                }
             }
         }
         if let Some(code) = body.caller_fault() {
@@ -194,7 +200,9 @@
         } else {
             let room_in = placement_error.and_then(PlacementError::retry_after);
             let mut refusal = Refusal::new(code_if_not_run(code), Run::NotRun);
-            refusal.retry_after = room_in.or(refusal.retry_after);
+            // Another VM may reach the servers.
+            let elsewhere = (code == Code::NoPath).then_some(NO_PATH_RETRY_AFTER);
+            refusal.retry_after = room_in.or(elsewhere).or(refusal.retry_after);
             refusal
         };
         if let Some(placement_error) = placement_error {
@@ -227,7 +235,12 @@
 /// Maps a code to one for a request that did not run; its status says so, so that the caller may send it again.
 fn code_if_not_run(code: Code) -> Code {
     match code {
-        Code::NoServer | Code::NoCapacity | Code::ServerLeaving | Code::BodyTooLarge | Code::RequestIncomplete => code,
+        Code::NoServer
+        | Code::NoPath
+        | Code::NoCapacity
+        | Code::ServerLeaving
+        | Code::BodyTooLarge
+        | Code::RequestIncomplete => code,
         _ => Code::NoServer,
     }
 }
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -23,6 +23,7 @@
 use super::limit_gate::LimitGate;
 use super::outgoing::forwarded_head;
 use super::request_context::RequestContext;
+use super::server_paths::{AnyDial, ServerPaths};
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
 
 /// `Retry-After` of refusals while this VM is not ready.
@@ -43,8 +44,8 @@
     vm: VmName,
     headers: Arc<HeaderNames>,
     bounds: ArcSwap<Bounds>,
-    live: ArcSwap<LiveState>,
-    counters: Counters,
+    live: Arc<ArcSwap<LiveState>>,
+    counters: Arc<Counters>,
     buffer_budget: BufferBudget,
     /// Time at which the process exits; set when the VM starts to shut down.
     exits_at: OnceLock<Instant>,
@@ -52,19 +53,26 @@
     quota_peers: OnceLock<Arc<dyn QuotaPeers>>,
     limits: Arc<LimitGate>,
     poison: Arc<PoisonGate>,
+    paths: Arc<ServerPaths>,
 }
 
 impl Gateway {
     /// Creates a gateway without a plan; it refuses every request until [`Gateway::publish`] is called.
     pub fn new(vm: VmName, headers: HeaderNames, bounds: Bounds) -> Self {
+        let live: Arc<ArcSwap<LiveState>> = Arc::default();
+        let counters: Arc<Counters> = Arc::default();
+        let paths = Arc::new(ServerPaths::new(Arc::clone(&live), Arc::clone(&counters)));
+        let poison = Arc::new(PoisonGate::new(vm.clone()));
+        poison.set_dial(Arc::new(AnyDial(Arc::clone(&paths))));
         Self {
             limits: Arc::new(LimitGate::new(vm.clone())),
-            poison: Arc::new(PoisonGate::new(vm.clone())),
+            poison,
+            paths,
             vm,
             headers: Arc::new(headers),
             bounds: ArcSwap::from_pointee(bounds),
-            live: ArcSwap::default(),
-            counters: Counters::default(),
+            live,
+            counters,
             buffer_budget: BufferBudget::new(DEFAULT_BUFFER_BYTES),
             exits_at: OnceLock::new(),
             closed: AtomicBool::new(false),
@@ -102,6 +110,11 @@
         &self.poison
     }
 
+    /// Returns the paths to backend servers.
+    pub fn paths(&self) -> &Arc<ServerPaths> {
+        &self.paths
+    }
+
     /// Returns the name of this VM.
     pub fn vm(&self) -> &VmName {
         &self.vm
@@ -352,6 +365,7 @@
             buffer_budget: self.buffer_budget.clone(),
             limits: Arc::clone(&self.limits),
             poison: Arc::clone(&self.poison),
+            paths: Arc::clone(&self.paths),
             fingerprint: None,
             headers: Arc::clone(&self.headers),
             route,
--- a/crates/mh_gateway/src/request/request_context.rs
+++ b/crates/mh_gateway/src/request/request_context.rs
@@ -12,6 +12,7 @@
 
 use super::buffer_budget::BufferBudget;
 use super::limit_gate::LimitGate;
+use super::server_paths::{RequestDial, ServerPaths};
 use crate::{ActiveShift, HeaderNames, HostRoute, LiveState, PlanOrg, ServiceBackends};
 
 /// Time past a route's timeout that is allowed for the arrival of the server's own timeout answer.
@@ -42,6 +43,7 @@
     pub(super) buffer_budget: BufferBudget,
     pub(super) limits: Arc<LimitGate>,
     pub(super) poison: Arc<PoisonGate>,
+    pub(super) paths: Arc<ServerPaths>,
     /// Identifies requests with the same contents; `None` if the body is not known before it is sent.
     pub(super) fingerprint: Option<Fingerprint>,
     pub(super) headers: Arc<HeaderNames>,
@@ -61,6 +63,11 @@
         self.effective_deadline().saturating_duration_since(Instant::now())
     }
 
+    /// Returns the dialer of the connections that the request may use.
+    pub(super) fn dialer(&self) -> RequestDial<'_> {
+        self.paths.dialer(&self.regions)
+    }
+
     /// Returns the earlier of the caller's deadline and the route's timeout.
     pub(super) fn effective_deadline(&self) -> Instant {
         self.deadline.min(self.route_deadline)
--- a/crates/mh_gateway/src/service_backends.rs
+++ b/crates/mh_gateway/src/service_backends.rs
@@ -49,7 +49,10 @@
                 .and_then(|p| p.connections.get(&listed.spec.name))
                 .filter(|c| c.addr() == listed.spec.addr);
             let max_idle = (service.max_connections / vms).clamp(1, MAX_IDLE_CONNECTIONS) as usize;
-            let new_connections = || Arc::new(ConnectionPool::new(listed.spec.addr, max_idle));
+            let new_connections = || {
+                let server = listed.spec.name.clone();
+                Arc::new(ConnectionPool::new(server, listed.spec.addr, max_idle))
+            };
             (
                 listed.spec.name.clone(),
                 reused.map_or_else(new_connections, Arc::clone),
--- /dev/null
+++ b/crates/mh_gateway/tests/cut_off.rs
@@ -0,0 +1,217 @@
+//! A VM that cannot reach the backend servers itself, beside one that can.
+
+#[path = "fixtures/mod.rs"]
+mod fixtures;
+#[path = "fleet/mod.rs"]
+mod fleet;
+#[path = "harness/mod.rs"]
+mod harness;
+mod store;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fleet::{Fleet, settings, wait_until};
+use harness::{OK, Reply, ScriptedServer, head, send_to};
+use mh_gateway::{CallerLimits, Feed, Plan, RegisteredServer, RequestKind, Update};
+use mh_types::Revision;
+use store::MemoryStore;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Index of the VM that is cut off.
+const CUT_OFF: usize = 0;
+
+/// Answer without a length, which is reset before its end.
+const RESET_WITHOUT_LENGTH: Reply = Reply::Reset("HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\n\r\nhalf");
+
+/// How a link is cut.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// New connections are refused.
+    Refuse,
+    /// New connections hang.
+    Hang,
+}
+
+/// Two VMs and one server. Each of the VMs `cut_off` sees the server at an address that does not answer.
+struct CutFleet {
+    fleet: Fleet,
+    server: ScriptedServer,
+    /// Connections that fill the queue of the address that hangs.
+    _held: (TcpListener, Vec<TcpStream>),
+}
+
+impl CutFleet {
+    async fn start(cut: Cut, cut_off: &[usize], replies: &[Reply]) -> Self {
+        let server = ScriptedServer::start(replies).await;
+        let (listener, filling) = full_listener().await;
+        let hanging = listener.local_addr().expect("a bound address");
+        let refusing = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+        let refusing = refusing.local_addr().expect("a bound address");
+        let store = MemoryStore::new();
+        for vm in cut_off {
+            let addr = match cut {
+                Cut::Refuse => refusing,
+                Cut::Hang => hanging,
+            };
+            store.set_seen_addr(&settings(*vm).vm, "s1", addr);
+        }
+        store.put(Feed::Settings, Update::Plan(plan().into()));
+        let entry = RegisteredServer {
+            addr: server.addr,
+            ..fixtures::server("v1")
+        };
+        store.put(Feed::Servers, Update::Server("s1".into(), Some(entry)));
+        let fleet = Fleet::start_on(store, 2).await;
+        fleet.wait_for_revision(1).await;
+        // Each VM then knows that the other one is alive.
+        wait_until(|| fleet.vms.iter().all(|vm| vm.gateway().live().vms.len() == 2)).await;
+        Self {
+            fleet,
+            server,
+            _held: (listener, filling),
+        }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.fleet.listen[CUT_OFF].callers
+    }
+
+    fn relayed(&self) -> u64 {
+        let counters = self.fleet.vms[CUT_OFF].gateway().counters();
+        counters.relayed.load(Ordering::Relaxed)
+    }
+}
+
+fn plan() -> Plan {
+    let route = |name: &str, kind| mh_gateway::HostRoute {
+        kind,
+        timeout: Duration::from_secs(5),
+        ..fixtures::route(name)
+    };
+    let routes = vec![
+        route("safe", RequestKind::Idempotent),
+        route("pay", RequestKind::NonIdempotent),
+    ];
+    Plan::new(
+        Revision(1),
+        routes,
+        vec![fixtures::service()],
+        Vec::new(),
+        CallerLimits::default(),
+    )
+}
+
+/// Returns a listener whose queue is full, so that further connections hang.
+async fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a loopback port");
+    let listener = socket.listen(1).expect("a listener");
+    let addr = listener.local_addr().expect("a bound address");
+    let mut filling = Vec::new();
+    while let Ok(Ok(stream)) = tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(addr)).await {
+        filling.push(stream);
+    }
+    (listener, filling)
+}
+
+/// Guards against callers of a cut-off VM who are not served although another VM reaches the servers.
+#[tokio::test(start_paused = true)]
+async fn requests_to_a_cut_off_vm_are_served_through_another_vm() {
+    for cut in [Cut::Refuse, Cut::Hang] {
+        let cut_fleet = CutFleet::start(cut, &[CUT_OFF], &[]).await;
+
+        for n in 0..10 {
+            for (method, path) in [("GET", "safe"), ("POST", "pay")] {
+                let answer = send_to(cut_fleet.addr(), method, &format!("/{path}/{n}"), "").await;
+                assert_eq!(
+                    (answer.status, answer.body.as_str()),
+                    (200, "done"),
+                    "{cut:?}: {answer:?}"
+                );
+            }
+        }
+
+        assert!(cut_fleet.relayed() > 0);
+        let seen = cut_fleet.server.seen();
+        assert_eq!(seen.len(), 20, "{cut:?}: each request runs once");
+        assert!(
+            seen.iter().all(|head| head.contains("mangohook-expected-server: s1")),
+            "{seen:?}"
+        );
+    }
+}
+
+/// Guards against connections that VMs without a link to the servers pass to each other, and against requests that wait
+/// although no VM can serve them.
+#[tokio::test(start_paused = true)]
+async fn cut_off_vms_refuse_requests_as_not_run() {
+    for cut in [Cut::Refuse, Cut::Hang] {
+        let cut_fleet = CutFleet::start(cut, &[0, 1], &[]).await;
+        // The VMs notice that they are cut off.
+        for listen in &cut_fleet.fleet.listen {
+            send_to(listen.callers, "GET", "/safe/first", "").await;
+        }
+
+        let answer = send_to(cut_fleet.addr(), "POST", "/pay/x", "").await;
+
+        assert_eq!(answer.status, 503, "{cut:?}: {answer:?}");
+        assert!(
+            answer.body.contains("1025") && answer.body.contains("not-run"),
+            "{answer:?}"
+        );
+        assert!(answer.head.contains("retry-after: 0.050"), "{answer:?}");
+        assert!(cut_fleet.server.seen().is_empty());
+        assert_eq!(cut_fleet.relayed(), 0);
+    }
+}
+
+/// Guards against an answer that looks complete although its server reset the connection to the relay.
+#[tokio::test(start_paused = true)]
+async fn a_reset_passes_through_the_relay() {
+    let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[OK, RESET_WITHOUT_LENGTH]).await;
+    send_to(cut_fleet.addr(), "POST", "/pay/first", "").await;
+
+    let answer = send_to(cut_fleet.addr(), "POST", "/pay/x", "").await;
+
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(cut_fleet.server.seen().len(), 2);
+}
+
+/// Guards against a server that works for a caller which has left, behind the relay.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_leaves_ends_the_relayed_connection() {
+    let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[OK, Reply::Hang]).await;
+    send_to(cut_fleet.addr(), "GET", "/safe/first", "").await;
+    let mut caller = TcpStream::connect(cut_fleet.addr()).await.expect("the VM listens");
+    let text = format!("{}content-length: 0\r\n\r\n", head("GET", "/safe/x"));
+    caller.write_all(text.as_bytes()).await.expect("the VM reads");
+    wait_until(|| cut_fleet.server.seen().len() == 2).await;
+
+    drop(caller);
+
+    wait_until(|| cut_fleet.server.abandoned() == 1).await;
+}
+
+/// Guards against a relay that connects to addresses that are no backend servers.
+#[tokio::test(start_paused = true)]
+async fn only_listed_servers_are_relayed_to() {
+    let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[]).await;
+    let other = ScriptedServer::start(&[]).await;
+    let relay = cut_fleet.fleet.listen[1].peers;
+    for header in ["", "mangohook-server: unlisted\r\n"] {
+        let mut stream = TcpStream::connect(relay).await.expect("the VM listens");
+        let text = format!(
+            "CONNECT {addr} HTTP/1.1\r\nhost: {addr}\r\n{header}connection: close\r\n\r\n",
+            addr = other.addr
+        );
+        stream.write_all(text.as_bytes()).await.expect("the VM reads");
+
+        let answer = harness::GatewayHarness::answer(stream).await;
+
+        assert_eq!(answer.status, 502, "{answer:?}");
+    }
+    assert!(other.seen().is_empty());
+}
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -48,6 +48,8 @@
 pub struct Fleet {
     pub store: MemoryStore,
     pub vms: Vec<Arc<GatewayNode>>,
+    /// Addresses of each VM.
+    pub listen: Vec<GatewayListen>,
 }
 
 impl Fleet {
@@ -58,14 +60,21 @@
     pub async fn start_with(count: usize) -> Self {
         let store = MemoryStore::new();
         store.put(Feed::Settings, Update::Plan(fixtures::plan(1).into()));
+        Self::start_on(store, count).await
+    }
+
+    /// Starts `count` VMs on a store that already holds settings.
+    pub async fn start_on(store: MemoryStore, count: usize) -> Self {
         let mut vms = Vec::new();
+        let mut listen = Vec::new();
         for n in 0..count {
-            let (node, caller_port) = start_vm(&store, n).await;
+            let (node, caller_port, ports) = start_with_ports(&store, n).await;
             // Keeps the port open until the test's runtime ends.
             std::mem::forget(caller_port);
             vms.push(node);
+            listen.push(ports);
         }
-        Self { store, vms }
+        Self { store, vms, listen }
     }
 
     /// Waits until every VM serves `revision`.
@@ -100,14 +109,22 @@
     }
 }
 
-/// Starts a VM. Another process may take a free port before it is bound, so several attempts are made.
+/// Starts a VM.
 pub async fn start_vm(store: &MemoryStore, n: usize) -> (Arc<GatewayNode>, CallerPort) {
+    let (node, caller_port, _) = start_with_ports(store, n).await;
+    (node, caller_port)
+}
+
+/// Starts a VM and returns its addresses too. Another process may take a free port before it is bound, so several
+/// attempts are made.
+async fn start_with_ports(store: &MemoryStore, n: usize) -> (Arc<GatewayNode>, CallerPort, GatewayListen) {
     for _ in 0..20 {
         let cfg = settings(n);
+        let listen = cfg.listen.clone();
         let source = Arc::new(store.source(&cfg.vm));
         let started = GatewayNode::start(cfg, HeaderNames::default(), Arc::new(PlainInterface), source).await;
         match started {
-            Ok(started) => return started,
+            Ok((node, caller_port)) => return (node, caller_port, listen),
             Err((Code::BindFailed, _)) => {}
             Err((code, detail)) => panic!("{code} {detail}"),
         }
--- a/crates/mh_gateway/tests/harness/mod.rs
+++ b/crates/mh_gateway/tests/harness/mod.rs
@@ -198,10 +198,7 @@
 
     /// Sends one request on a new connection.
     pub async fn send(&self, method: &str, path: &str, headers: &str) -> Answer {
-        let mut stream = self.connect().await;
-        let text = format!("{}content-length: 0\r\n{headers}\r\n", head(method, path));
-        stream.write_all(text.as_bytes()).await.expect("the gateway reads");
-        Self::answer(stream).await
+        send_to(self.addr, method, path, headers).await
     }
 
     /// Sends one request with a body of `bytes` bytes.
@@ -276,6 +273,44 @@
     }
 }
 
+/// Sends one request to the gateway at `addr` on a new connection.
+pub async fn send_to(addr: SocketAddr, method: &str, path: &str, headers: &str) -> Answer {
+    let mut stream = TcpStream::connect(addr).await.expect("the gateway listens");
+    let text = format!("{}content-length: 0\r\n{headers}\r\n", head(method, path));
+    stream.write_all(text.as_bytes()).await.expect("the gateway reads");
+    GatewayHarness::answer(stream).await
+}
+
+/// A scripted server that is used without a [`GatewayHarness`].
+pub struct ScriptedServer {
+    pub addr: SocketAddr,
+    script: Arc<Mutex<Script>>,
+}
+
+impl ScriptedServer {
+    /// Starts a server that answers from `replies`, then with [`OK`].
+    pub async fn start(replies: &[Reply]) -> Self {
+        let script = Arc::new(Mutex::new(Script {
+            replies: replies.iter().copied().collect(),
+            ..Script::default()
+        }));
+        Self {
+            addr: server(&script).await,
+            script,
+        }
+    }
+
+    /// Returns the heads of the requests that reached the server.
+    pub fn seen(&self) -> Vec<String> {
+        lock(&self.script).seen.clone()
+    }
+
+    /// Returns the number of unanswered requests whose connection was closed.
+    pub fn abandoned(&self) -> usize {
+        lock(&self.script).abandoned
+    }
+}
+
 /// Returns the head of a request, without the length of its body.
 pub fn head(method: &str, path: &str) -> String {
     format!(
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fixture")]
 
 use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use mh_gateway::{AnnouncedVm, Batch, ChangesRead, Feed, ShiftRecord, Source, StoredQuarantine, Update, WriteOutcome};
 use mh_platform::{BoxFuture, PlatformError, Result};
 use mh_poison::Fingerprint;
-use mh_types::{Code, ServiceName, StoreVersion, VmName};
+use mh_types::{Code, ServerName, ServiceName, StoreVersion, VmName};
 use tokio::sync::watch;
 
 /// Timeout of a call, in addition to the time that it asks the store to wait.
@@ -28,6 +29,8 @@
     /// Whether calls that arrive are never answered. Calls that are already waiting are not affected.
     is_silent: bool,
     calls: BTreeMap<VmName, usize>,
+    /// Addresses under which single VMs see servers, instead of those in their entries.
+    seen_addrs: BTreeMap<(VmName, ServerName), SocketAddr>,
 }
 
 /// The store that all VMs of a test share.
@@ -134,6 +137,11 @@
         self.with_state(|state| state.is_silent = is_silent);
     }
 
+    /// Makes `vm` see the server `name` at `addr`.
+    pub fn set_seen_addr(&self, vm: &VmName, name: &str, addr: SocketAddr) {
+        self.with_state(|state| state.seen_addrs.insert((vm.clone(), name.into()), addr));
+    }
+
     /// Returns the calls of each VM since the last time.
     pub fn take_calls(&self) -> BTreeMap<VmName, usize> {
         self.with_state(|state| std::mem::take(&mut state.calls))
@@ -172,12 +180,24 @@
             if after.era != state.era || after.number > state.version {
                 return Ok(ChangesRead::HistoryLost { era: state.era });
             }
-            Ok(ChangesRead::Changes(batch(state, feed, after.number)))
+            Ok(ChangesRead::Changes(batch(state, &self.vm, feed, after.number)))
         })
     }
 }
 
-fn batch(state: &mut State, feed: Feed, after: u64) -> Batch {
+/// Returns `update` as `vm` sees it.
+fn seen_by(state: &State, vm: &VmName, update: &Update) -> Update {
+    let mut seen = update.clone();
+    if let Update::Server(name, Some(entry)) = &mut seen
+        && let Some(addr) = state.seen_addrs.get(&(vm.clone(), name.clone()))
+    {
+        entry.addr = *addr;
+    }
+    seen
+}
+
+fn batch(state: &mut State, vm: &VmName, feed: Feed, after: u64) -> Batch {
+    let clock = Duration::from_secs(1) + state.started.get_or_insert_with(tokio::time::Instant::now).elapsed();
     let updates = state.updates.iter();
     let updates: Vec<_> = updates
         .filter(|(update_feed, version, _)| *update_feed == feed && *version > after)
@@ -188,14 +208,17 @@
             state.era,
             updates.iter().map(|update| update.1).max().unwrap_or_default(),
         ),
-        clock: Duration::from_secs(1) + state.started.get_or_insert_with(tokio::time::Instant::now).elapsed(),
-        updates: updates.into_iter().map(|(_, _, update)| update.clone()).collect(),
+        clock,
+        updates: updates
+            .into_iter()
+            .map(|(_, _, update)| seen_by(state, vm, update))
+            .collect(),
     }
 }
 
 impl Source for VmSource {
     fn read(&self, feed: Feed) -> BoxFuture<'_, Result<Batch>> {
-        Box::pin(async move { self.call(Duration::ZERO, |state| batch(state, feed, 0)).await })
+        Box::pin(async move { self.call(Duration::ZERO, |state| batch(state, &self.vm, feed, 0)).await })
     }
 
     fn changes(&self, feed: Feed, version: StoreVersion, wait: Duration) -> BoxFuture<'_, Result<ChangesRead>> {
--- a/crates/mh_platform/src/http/client.rs
+++ b/crates/mh_platform/src/http/client.rs
@@ -20,11 +20,11 @@
 /// Maximum size of a response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
-/// TCP keepalive: idle time before the first probe, which is also the interval between probes, and the number of
-/// unanswered probes that close the connection. A dead connection is detected within 3 s.
-const TCP_KEEPALIVE: (Duration, u32) = (Duration::from_secs(1), 2);
+/// TCP keepalive: idle time before the first probe, which is also the interval between probes.
+const TCP_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum time that sent data may remain unacknowledged before the connection is closed.
+/// Maximum time that sent data or keepalive probes may remain unacknowledged before the connection is closed. On Linux it
+/// replaces the number of unanswered probes.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Rate-limited HTTP client of one platform service.
@@ -78,9 +78,8 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
-        connector.set_keepalive(Some(TCP_KEEPALIVE.0));
-        connector.set_keepalive_interval(Some(TCP_KEEPALIVE.0));
-        connector.set_keepalive_retries(Some(TCP_KEEPALIVE.1));
+        connector.set_keepalive(Some(TCP_KEEPALIVE_INTERVAL));
+        connector.set_keepalive_interval(Some(TCP_KEEPALIVE_INTERVAL));
         connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         let http = HyperClient::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(30))
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -306,6 +307,16 @@
         index.is_some()
     }
 
+    /// Forgets the failures of all servers, because their cause was this VM's own links.
+    pub fn clear_failures(&self) {
+        self.servers.iter().for_each(|server| server.stats.clear_failures());
+    }
+
+    /// Addresses of all servers.
+    pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
+        self.servers.iter().map(|server| server.spec.addr)
+    }
+
     /// Whether the pool has a server of this name.
     pub fn contains(&self, name: &ServerName) -> bool {
         self.index_by_name.contains_key(name)
@@ -319,7 +330,7 @@
     /// Number of slots of the servers that take new requests.
     pub fn slots(&self) -> u32 {
         let accepting = self.servers.iter().filter(|server| !server.leaving);
-        accepting.map(|server| server.spec.slots).sum()
+        accepting.map(|server| server.spec.slots).fold(0, u32::saturating_add)
     }
 
     /// State of every server, for the state dump.
--- a/crates/mh_route/src/objects/server_stats.rs
+++ b/crates/mh_route/src/objects/server_stats.rs
@@ -95,6 +95,12 @@
         self.blocked_until.fetch_max(now + wait, Ordering::Relaxed);
     }
 
+    /// Forgets the failures since the last answer.
+    pub(crate) fn clear_failures(&self) {
+        self.failures.store(0, Ordering::Relaxed);
+        self.blocked_until.store(0, Ordering::Relaxed);
+    }
+
     /// Records that the server accepts no request until `until`, by a limit that it stated.
     pub(crate) fn set_full(&self, until: Micros) {
         self.full_until.store(until, Ordering::Relaxed);
