Notice that a caller has left although it has sent further requests

Reading the code found one way: the HTTP library reads nothing while a request runs and the next one is already in its buffer, so a caller that sends ahead and leaves is noticed only after the answer. Its server works on until the route's timeout. Whether this is what the operators saw is not known.

Test failed before: troubled_servers.rs caller_disconnect_ends_requests_sent_ahead (the request ended by its timeout). Tests that passed at once guard the other ways: a cancelled stream, a VM that is shutting down, a caller that has left before its request is read. The tests of closed connections now also check that no timeout ended the request.

--- a/crates/mh_edge/src/lib.rs
+++ b/crates/mh_edge/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod admission;
 mod backends;
+mod caller_stream;
 mod cfg;
 mod connection_pool;
 mod crash_peers;
--- a/crates/mh_edge/src/serve.rs
+++ b/crates/mh_edge/src/serve.rs
@@ -1,4 +1,4 @@
-use std::convert::Infallible;
+use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -6,7 +6,7 @@
 
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 use tokio_io_timeout::TimeoutStream;
 
+use crate::caller_stream::{CallerSocket, CallerStream};
 use crate::protocol_timeout_stream::ProtocolTimeoutStream;
 use crate::{Edge, EdgeCfg, ResponseBody};
 
@@ -200,12 +201,21 @@
         .keep_alive_interval(limits.header_timeout)
         .keep_alive_timeout(limits.header_timeout);
     let _ = stream.set_nodelay(true);
-    let mut stream = TimeoutStream::new(stream);
+    let socket = CallerSocket::new(stream);
+    let mut stream = TimeoutStream::new(CallerStream(Arc::clone(&socket)));
     stream.set_write_timeout(Some(limits.write_timeout));
     let stream = ProtocolTimeoutStream::new(Box::pin(stream), limits.header_timeout);
-    let service = service_fn(move |req| {
-        let answer = handle(req);
-        async move { Ok::<_, Infallible>(answer.await) }
+    let service = service_fn(move |req: Request<Incoming>| {
+        let is_http1 = req.version() < Version::HTTP_2;
+        let (answer, socket) = (handle(req), Arc::clone(&socket));
+        async move {
+            tokio::select! {
+                biased;
+                answer = answer => Ok(answer),
+                // Ends the connection and with it the requests that the caller has sent ahead.
+                () = socket.left(), if is_http1 => Err(Error::new(ErrorKind::ConnectionAborted, "the caller has left")),
+            }
+        }
     });
     builder.serve_connection(TokioIo::new(stream), service).into_owned()
 }
--- a/crates/mh_gateway/tests/harness/mod.rs
+++ b/crates/mh_gateway/tests/harness/mod.rs
@@ -8,7 +8,7 @@
 
 use hyper::header::HeaderName;
 use mh_config::KeyHash;
-use mh_edge::{PortLimits, serve_with};
+use mh_edge::{CallerPort, PortLimits, serve_with};
 use mh_gateway::{
     Bounds, CallerLimits, DeploymentState, Feed, Gateway, HeaderNames, HostRoute, LiveState, Plan, RegisteredServer,
     RequestKind, Update,
@@ -84,6 +84,7 @@
     pub gateway: Arc<Gateway>,
     deployment: Mutex<DeploymentState>,
     servers: Vec<SocketAddr>,
+    port: Mutex<Option<CallerPort>>,
 }
 
 /// Answer as received by a caller.
@@ -185,17 +186,22 @@
             let gateway = Arc::clone(&handler);
             async move { gateway.handle(req).await }
         });
-        // The port is served until the runtime of the test ends.
-        std::mem::forget(server.expect("the listener has an address"));
+        let port = server.expect("the listener has an address");
         Self {
             addr,
             script,
             gateway,
             deployment: Mutex::new(deployment),
             servers: servers.to_vec(),
+            port: Mutex::new(Some(port)),
         }
     }
 
+    /// Stops accepting callers, and lets running requests finish.
+    pub fn close_port(&self) {
+        drop(self.port.lock().unwrap_or_else(PoisonError::into_inner).take());
+    }
+
     /// Sends one request on a new connection.
     pub async fn send(&self, method: &str, path: &str, headers: &str) -> Answer {
         send_to(self.addr, method, path, headers).await
--- a/crates/mh_gateway/tests/troubled_servers.rs
+++ b/crates/mh_gateway/tests/troubled_servers.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use harness::{GatewayHarness, OK, Reply};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::io::AsyncWriteExt;
 
 /// Longest wait for an expected event; it detects a hang and is no performance limit.
 const HANG_TIMEOUT: Duration = Duration::from_mins(1);
@@ -51,6 +53,15 @@
     assert!(tokio::time::timeout(HANG_TIMEOUT, wait).await.is_ok(), "{what}");
 }
 
+/// Whole answer of a server.
+const LATE_OK: &str = "HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 4\r\n\r\ndone";
+
+/// Checks that no request ended because its server did not answer in time.
+fn assert_not_timed_out(harness: &GatewayHarness) {
+    let failed = &harness.gateway.counters().failed;
+    assert_eq!(failed.load(std::sync::atomic::Ordering::Relaxed), 0);
+}
+
 /// Guards against streaming an endless answer past the route's timeout, and against marking it as complete.
 #[tokio::test]
 async fn endless_answer_is_cut_at_route_timeout() {
@@ -98,6 +109,7 @@
 
     assert!(sent.is_err());
     eventually("the server's connection is closed", || harness.abandoned() == 1).await;
+    assert_not_timed_out(&harness);
 }
 
 /// Guards against waiting for the body of a refusal whose head already states that the request has not run.
@@ -311,3 +323,103 @@
     assert_eq!((read.status, read.body.as_str()), (200, "done"));
     assert_eq!(paid.status, 502);
 }
+
+/// Guards against a server working for a caller that has disconnected, and against running its further requests, if the
+/// caller sent them before the first one was answered.
+#[tokio::test]
+async fn caller_disconnect_ends_requests_sent_ahead() {
+    let later = Reply::Later("", Duration::from_millis(600), LATE_OK);
+    for (replies, is_answered) in [([Reply::Hang], false), ([later], true)] {
+        let harness = GatewayHarness::start(&replies).await;
+        let mut caller = harness.connect().await;
+        let request = |path: &str| {
+            let head = harness::head("GET", path).replace("connection: close\r\n", "");
+            format!("{head}content-length: 0\r\n\r\n")
+        };
+        let text = request("/safe/x") + &request("/safe/y");
+        caller.write_all(text.as_bytes()).await.expect("the gateway reads");
+        eventually("the first request is sent on", || harness.seen().len() == 1).await;
+
+        drop(caller);
+
+        if is_answered {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        } else {
+            eventually("the server's connection is closed", || harness.abandoned() == 1).await;
+        }
+        assert_not_timed_out(&harness);
+        assert_eq!(harness.seen().len(), 1);
+    }
+}
+
+/// Guards against sending on a request whose caller had left before the gateway read it.
+#[tokio::test]
+async fn a_request_read_after_its_caller_left_is_not_sent_on() {
+    let harness = GatewayHarness::start(&[]).await;
+    for n in 0..20 {
+        let caller = harness.connect().await;
+        let text = format!(
+            "{}content-length: 0\r\n\r\n",
+            harness::head("GET", &format!("/safe/{n}"))
+        );
+        // Nothing runs between the request and the close, so the gateway reads both at once.
+        assert_eq!(caller.try_write(text.as_bytes()).expect("an empty buffer"), text.len());
+        drop(caller);
+    }
+
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    assert!(harness.seen().is_empty(), "{:?}", harness.seen());
+}
+
+/// Guards against a server working for a caller that has disconnected from a VM that is shutting down.
+#[tokio::test]
+async fn caller_disconnect_closes_server_connection_during_shutdown() {
+    for is_first_on_connection in [true, false] {
+        let replies = if is_first_on_connection {
+            vec![Reply::Hang]
+        } else {
+            vec![OK, Reply::Hang]
+        };
+        let harness = GatewayHarness::start(&replies).await;
+        let mut caller = harness.connect().await;
+        for n in 0..replies.len() {
+            let head = harness::head("GET", &format!("/safe/{n}")).replace("connection: close\r\n", "");
+            let text = format!("{head}content-length: 0\r\n\r\n");
+            caller.write_all(text.as_bytes()).await.expect("the gateway reads");
+            eventually("the request is sent on", || harness.seen().len() == n + 1).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        harness
+            .gateway
+            .leave(tokio::time::Instant::now() + Duration::from_mins(1));
+        harness.close_port();
+        tokio::time::sleep(Duration::from_millis(400)).await;
+
+        drop(caller);
+
+        eventually("the server's connection is closed", || harness.abandoned() == 1).await;
+        assert_not_timed_out(&harness);
+    }
+}
+
+/// Guards against a server working for a caller that has cancelled its stream.
+#[tokio::test]
+async fn cancelled_stream_closes_server_connection() {
+    let harness = GatewayHarness::start(&[Reply::Hang]).await;
+    let stream = TokioIo::new(harness.connect().await);
+    let (mut sender, connection) = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream)
+        .await
+        .expect("the gateway speaks HTTP/2");
+    tokio::spawn(connection);
+    let req = hyper::Request::get("http://shop.example/safe/x")
+        .header("mangohook-request-id", "q")
+        .body(http_body_util::Empty::<bytes::Bytes>::new())
+        .expect("a valid request");
+    let answer = sender.send_request(req);
+    let sent = tokio::time::timeout(Duration::from_millis(200), answer).await;
+    assert!(sent.is_err() && harness.seen().len() == 1);
+
+    eventually("the server's connection is closed", || harness.abandoned() == 1).await;
+    assert_not_timed_out(&harness);
+}
