Cut VMs off from all servers, and silence the store, in the soak

A second test now cuts one, most or all VMs off (open connections reset, stalled or kept, new ones refused), with stores that leave calls unanswered after a change, kills, stops and changes among them. Each VM sees the servers at addresses of its own and has a region of its own, so that other VMs do not tell it theirs. Schedules of the first test are unchanged.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,6 +6,9 @@
 //! that quotas and the limits of servers hold, that settings never revert to an older version, that planned stops abort no request, and that
 //! every VM serves again at the end.
 //!
+//! A second set of faults cuts VMs off from all servers and lets the store leave calls unanswered. Each VM then has links
+//! and a region of its own, so that no other VM tells it the addresses of its links.
+//!
 //! `SOAK_SEEDS=100..150 SOAK_ROUNDS=2 cargo test --test soak` runs other seeds, three at a time. The test
 //! does not measure response times, because other tests may run at the same time as this one.
 
@@ -33,7 +36,7 @@
 use fleet::{Fleet, LIMITED_ORG};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use step::{Step, TimedStep};
+use step::{FaultSet, Step, TimedStep};
 use tokio::time::Instant;
 
 /// Seeds of the default run. A seed that failed once is kept here, with a comment on the cause.
@@ -44,6 +47,9 @@
     7031,
 ];
 
+/// Seeds of the default run with VMs that are cut off.
+const DEFAULT_CUT_SEEDS: [u64; 2] = [1, 2];
+
 /// Number of seeds that run at the same time.
 const CONCURRENT_RUNS: usize = 3;
 
@@ -65,13 +71,17 @@
     }
 }
 
-async fn run_seed(seed: u64, rounds: u64) -> Result<(), String> {
+async fn run_seed(seed: u64, rounds: u64, faults: FaultSet) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut fleet = Fleet::start().await;
+    let mut fleet = Fleet::start(faults).await;
     for _ in 0..rounds {
         let (vms, servers) = (fleet.vm_count(), fleet.server_count());
         fleet.set_fault_free(false);
-        run_steps(&mut fleet, step::random_faults(&mut rng, vms, servers), false).await;
+        let steps = match faults {
+            FaultSet::All => step::random_faults(&mut rng, vms, servers),
+            FaultSet::CutVms => step::random_cuts(&mut rng, vms, servers),
+        };
+        run_steps(&mut fleet, steps, false).await;
         for vm in 0..vms {
             fleet.apply(Step::Resume(vm)).await;
             if fleet.has_exited(vm) {
@@ -101,22 +111,19 @@
     ))
 }
 
-fn seeds() -> Vec<u64> {
+fn seeds(default: &[u64]) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
-        return DEFAULT_SEEDS.to_vec();
+        return default.to_vec();
     };
     let (from, to) = text.split_once("..").expect("SOAK_SEEDS is FROM..TO");
     (from.parse().expect("a number")..to.parse().expect("a number")).collect()
 }
 
-/// Guards against sequences of faults after which a request runs twice, an answer reaches the wrong caller, a refused
-/// request runs, settings revert, a planned stop aborts a request, or a VM does not serve again.
-#[tokio::test(flavor = "multi_thread")]
-async fn guarantees_hold_under_random_faults() {
+async fn run_seeds(seeds: &[u64], faults: FaultSet) {
     let rounds = std::env::var("SOAK_ROUNDS").map_or(1, |text| text.parse().expect("a number"));
     let mut failures = Vec::new();
-    for seeds in seeds().chunks(CONCURRENT_RUNS) {
-        let runs = seeds.iter().map(|seed| tokio::spawn(run_seed(*seed, rounds)));
+    for seeds in seeds.chunks(CONCURRENT_RUNS) {
+        let runs = seeds.iter().map(|seed| tokio::spawn(run_seed(*seed, rounds, faults)));
         for run in runs.collect::<Vec<_>>() {
             if let Err(failure) = run.await.expect("a run does not panic") {
                 eprintln!("{failure}");
@@ -126,3 +133,16 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n\n"));
 }
+
+/// Guards against sequences of faults after which a request runs twice, an answer reaches the wrong caller, a refused
+/// request runs, settings revert, a planned stop aborts a request, or a VM does not serve again.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_under_random_faults() {
+    run_seeds(&seeds(&DEFAULT_SEEDS), FaultSet::All).await;
+}
+
+/// Guards against the same while VMs are cut off from all servers and the store leaves calls unanswered.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_vms_are_cut_off() {
+    run_seeds(&seeds(&DEFAULT_CUT_SEEDS), FaultSet::CutVms).await;
+}
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -14,7 +14,7 @@
 use super::operator::{CONFIG_KEY, OPERATOR_TABLE, Org, SERVER_TABLE, config, server_entry};
 use super::proxy::{Link, Proxy};
 use super::server::{DEADLY_PATH, Server};
-use super::step::{DOMAINS, Step};
+use super::step::{DOMAINS, FaultSet, Step};
 use super::vm::Vm;
 
 /// Number of VMs.
@@ -48,6 +48,7 @@
 pub struct Fleet {
     pub ledger: Ledger,
     store: FakeStore,
+    faults: FaultSet,
     vms: Vec<Vm>,
     servers: Vec<Server>,
     /// Version of the newest configuration.
@@ -71,17 +72,18 @@
 }
 
 impl Fleet {
-    pub async fn start() -> Self {
+    pub async fn start(faults: FaultSet) -> Self {
         let store = FakeStore::start().await;
         let folder = tempfile::tempdir().expect("a temporary folder");
         let mut vms = Vec::new();
         for n in 0..VMS {
             let name = format!("vm-{n}");
-            vms.push(Vm::new(&name, DOMAINS[n % DOMAINS.len()], folder.path(), store.addr()).await);
+            vms.push(Vm::new(&name, DOMAINS[n % DOMAINS.len()], folder.path(), &store, faults).await);
         }
         let mut fleet = Self {
             ledger: Ledger::default(),
             store,
+            faults,
             vms,
             servers: Vec::new(),
             version: Arc::new(AtomicU64::new(1)),
@@ -132,6 +134,11 @@
         self.servers_started += 1;
         let name = format!("{service}-{}", self.servers_started);
         let server = Server::start(name, service, domain, self.servers_started, &self.ledger).await;
+        if self.faults == FaultSet::CutVms {
+            for vm in &mut self.vms {
+                vm.add_server(&server.name, server.addr()).await;
+            }
+        }
         self.register(&server, false);
         self.tasks.spawn(restart_after_deaths(
             self.store.clone(),
@@ -190,6 +197,7 @@
             Step::StoreOutage(fault) => self.store.set_outage(fault),
             Step::SendDeadly(vm, number) => self.send_deadly(vm, number),
             Step::RestoreStore(age) => self.restore_store(age),
+            Step::CutOff(vm, cut) => self.vms[vm].set_cut(cut),
             Step::Configure => self.configure(),
             Step::Drain(domain, true) => {
                 self.store
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Sets whether new connections are refused.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.send_replace(is_down);
+    }
+
     /// Resets open connections and refuses new ones for `time`.
     pub async fn go_down(&self, time: Duration) {
         self.is_down.send_replace(true);
--- a/tests/soak/step.rs
+++ b/tests/soak/step.rs
@@ -22,6 +22,16 @@
 /// Limits that servers state; the last ones are malformed or cannot be met by any server.
 const LIMITS: [&str; 9] = ["1", "2.5", "4", "7", "0.3", "0", "-2", "soon", "1e300"];
 
+/// Which faults a run injects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultSet {
+    /// Faults of processes, links, servers and the store, of VMs that share one region.
+    All,
+    /// VMs that are cut off from all servers, and a store that leaves calls unanswered. Each VM has links and a region
+    /// of its own.
+    CutVms,
+}
+
 /// An external event; VMs, servers and failure domains are identified by their index.
 #[derive(Clone, Copy, Debug)]
 pub enum Step {
@@ -51,6 +61,8 @@
     RestoreStore(Duration),
     /// Sends a request that crashes the servers that run it, with this number, to a VM.
     SendDeadly(usize, u64),
+    /// Cuts a VM off from all servers, or ends the cut. New connections are refused; open ones change as given.
+    CutOff(usize, Option<OpenConnections>),
     /// Publishes a new configuration, which withdraws a key and grants another.
     Configure,
     /// Starts or ends the drain of a failure domain.
@@ -118,6 +130,52 @@
     sorted_by_time(steps)
 }
 
+/// Overlapping cuts of one, most or all VMs, silences of the store, and changes, signals and kills among them.
+pub fn random_cuts(rng: &mut StdRng, vms: usize, servers: usize) -> Vec<TimedStep> {
+    let mut steps = Vec::new();
+    for _ in 0..rng.random_range(2..5) {
+        let at = Duration::from_millis(rng.random_range(0..5000));
+        let end = at + Duration::from_millis(rng.random_range(500..5000));
+        let open = [
+            OpenConnections::Reset,
+            OpenConnections::Stalled,
+            OpenConnections::Unchanged,
+        ];
+        let open = *open.choose(rng).expect("the list is not empty");
+        let first = rng.random_range(0..vms);
+        let count = [1, 1, vms - 1, vms][rng.random_range(0..4)];
+        for vm in (0..count).map(|n| (first + n) % vms) {
+            steps.extend([(at, Step::CutOff(vm, Some(open))), (end, Step::CutOff(vm, None))]);
+        }
+    }
+    for _ in 0..rng.random_range(1..4) {
+        let at = Duration::from_millis(rng.random_range(0..6000));
+        let end = at + Duration::from_millis(rng.random_range(200..4000));
+        let before = at.saturating_sub(Duration::from_millis(rng.random_range(20..400)));
+        steps.extend([
+            (before, Step::Configure),
+            (at, Step::StoreOutage(Some(Fault::Silent))),
+            (end, Step::StoreOutage(None)),
+            (end + Duration::from_millis(rng.random_range(0..2000)), Step::Configure),
+        ]);
+    }
+    for _ in 0..rng.random_range(2..6) {
+        let at = Duration::from_millis(rng.random_range(0..5000));
+        let (vm, server) = (rng.random_range(0..vms), rng.random_range(0..servers));
+        match rng.random_range(0..5) {
+            0 => steps.extend([(at, Step::Kill(vm)), (at + Duration::from_secs(1), Step::Start(vm))]),
+            1 => steps.extend([(at, Step::Terminate(vm)), (at + STOP_TIME, Step::Start(vm))]),
+            2 => steps.extend([
+                (at, Step::MarkLeaving(server)),
+                (at + ENTRY_LIFETIME, Step::ReplaceServer(server)),
+            ]),
+            3 => steps.push((at, Step::HangUp(vm))),
+            _ => steps.push((at, Step::Configure)),
+        }
+    }
+    sorted_by_time(steps)
+}
+
 /// One request that crashes the servers that run it, sent again and again to any VM, in one phase in two.
 fn random_deadly_requests(rng: &mut StdRng, vms: usize) -> Vec<TimedStep> {
     let number = rng.random();
--- a/tests/soak/vm.rs
+++ b/tests/soak/vm.rs
@@ -1,19 +1,28 @@
 //! A gateway VM of the soak test.
 
+use std::collections::BTreeMap;
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::{Arc, PoisonError};
 
 use mh_standin::{Process, free_addrs};
 
-use super::operator::settings;
-use super::proxy::Proxy;
+use super::fake_store::{FakeStore, SeenAddrs};
+use super::operator::{settings, with_own_region};
+use super::proxy::{OpenConnections, Proxy};
+use super::step::FaultSet;
 
 /// A gateway VM: its process, if it runs, and its proxy to the store.
 pub struct Vm {
     pub caller_addr: SocketAddr,
     pub store_proxy: Proxy,
+    seen_addrs: SeenAddrs,
+    /// This VM's links to the servers, by name; used only if VMs are cut off.
+    server_links: BTreeMap<String, Proxy>,
+    /// What became of open connections in the cut that goes on.
+    cut: Option<OpenConnections>,
     pub process: Option<Process>,
     /// Number of starts so far; a VM guarantees the order of configurations only within one start.
     pub starts: u64,
@@ -22,14 +31,23 @@
 }
 
 impl Vm {
-    pub async fn new(name: &str, domain: &str, folder: &Path, store_addr: SocketAddr) -> Self {
+    pub async fn new(name: &str, domain: &str, folder: &Path, store: &FakeStore, faults: FaultSet) -> Self {
         let listen: [SocketAddr; 4] = free_addrs().expect("loopback has free ports");
+        let seen_addrs = SeenAddrs::default();
+        let store_addr = store.serve(Arc::clone(&seen_addrs)).await;
         let store_proxy = Proxy::start(store_addr).await;
         let path = folder.join(format!("{name}.yaml"));
-        std::fs::write(&path, settings(name, domain, listen, store_proxy.addr())).expect("the folder can be written");
+        let mut text = settings(name, domain, listen, store_proxy.addr());
+        if faults == FaultSet::CutVms {
+            text = with_own_region(&text, name, domain);
+        }
+        std::fs::write(&path, text).expect("the folder can be written");
         Self {
             caller_addr: listen[0],
             store_proxy,
+            seen_addrs,
+            server_links: BTreeMap::new(),
+            cut: None,
             process: None,
             starts: 0,
             settings: path,
@@ -37,6 +55,28 @@
         }
     }
 
+    /// Puts a link of its own between this VM and the server `name`.
+    pub async fn add_server(&mut self, name: &str, addr: SocketAddr) {
+        let link = Proxy::start(addr).await;
+        if self.cut.is_some() {
+            link.set_down(true);
+        }
+        let mut seen_addrs = self.seen_addrs.lock().unwrap_or_else(PoisonError::into_inner);
+        seen_addrs.insert(addr.to_string(), link.addr().to_string());
+        self.server_links.insert(name.to_owned(), link);
+    }
+
+    /// Cuts this VM off from all servers, or ends the cut.
+    pub fn set_cut(&mut self, cut: Option<OpenConnections>) {
+        self.cut = cut;
+        for link in self.server_links.values() {
+            link.set_down(cut.is_some());
+            if let Some(open @ (OpenConnections::Reset | OpenConnections::Stalled)) = cut {
+                link.set_open_connections(open);
+            }
+        }
+    }
+
     pub fn start(&mut self) {
         let log = OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.expect("the folder can be written");
