Count only broken connections as a possible crash of their server

With the relays, a request that ran into its time limit while its VM was cut off was checked as one whose connection had broken. A connection that broke in a cut is still checked, through a relay, as the server may have crashed at the same time.

--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -111,6 +111,9 @@
         Err((failure, outcome)) => {
             // The caller aborted its body, which says nothing about the server.
             let is_caller_fault = body.caller_fault().is_some();
+            if outcome == Outcome::Failed && !is_caller_fault && failure.run() == Run::Unknown {
+                cx.record_loss(&placement);
+            }
             // While this VM is cut off, the connection broke and not the server.
             let is_path_fault = !connection.is_relayed() && cx.paths.is_cut_off();
             let outcome = if is_caller_fault || is_path_fault {
@@ -118,9 +121,6 @@
             } else {
                 outcome
             };
-            if outcome != Outcome::TimedOut && !is_caller_fault && failure.run() == Run::Unknown {
-                cx.record_loss(&placement);
-            }
             Err(end_attempt(cx, placement, outcome, failure))
         }
     }
