Call connections through other VMs tunnels

"Relay" already names the reading of the store for a region (mh_relay). Names only; behaviour is unchanged.

--- a/crates/mh_edge/src/connection_pool.rs
+++ b/crates/mh_edge/src/connection_pool.rs
@@ -210,7 +210,7 @@
 
 impl Connection {
     /// Returns whether another VM passes the bytes of this connection on.
-    pub fn is_relayed(&self) -> bool {
+    pub fn is_tunnelled(&self) -> bool {
         self.path != ConnectionPath::Direct
     }
 
--- a/crates/mh_edge/src/dial.rs
+++ b/crates/mh_edge/src/dial.rs
@@ -41,7 +41,7 @@
     /// This VM is connected to the server.
     Direct,
     /// Another VM is connected to the server and passes the bytes on.
-    Relayed {
+    Tunnel {
         /// The other VM.
         vm: VmName,
         /// Region of the other VM.
@@ -69,7 +69,7 @@
     }
 }
 
-/// Connects to the backend server, or the relaying VM, at `addr`.
+/// Connects to the backend server, or the VM that opens a tunnel, at `addr`.
 ///
 /// # Errors
 ///
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use mh_member::{MemberState, VmList, VmListEntry};
-use mh_path::RelayVm;
+use mh_path::TunnelVm;
 use mh_types::{Event, RegionName, VmName, emit};
 use std::net::SocketAddr;
 use tokio::time::{Instant, MissedTickBehavior};
@@ -151,13 +151,15 @@
         callers.push((vm.region.clone(), vm.callers));
     }
     let is_region_peer = |vm: &AnnouncedVm| vm.region == node.cfg.region && vm.vm != node.cfg.vm;
-    let relays = deployment.vms().filter(|vm| vm.vm != node.cfg.vm && is_usable(&vm.vm));
-    let relays = relays.map(|vm| RelayVm {
+    let tunnel_vms = deployment.vms().filter(|vm| vm.vm != node.cfg.vm && is_usable(&vm.vm));
+    let tunnel_vms = tunnel_vms.map(|vm| TunnelVm {
         vm: vm.vm.clone(),
         region: vm.region.clone(),
         addr: vm.peers,
     });
-    node.gateway.paths().set_relays(&node.cfg.region, relays.collect());
+    node.gateway
+        .paths()
+        .set_tunnel_vms(&node.cfg.region, tunnel_vms.collect());
     let has_region_peers = deployment.vms().any(|vm| is_region_peer(vm) && is_usable(&vm.vm));
     node.relay.set_no_live_peers(!has_region_peers);
     let dead = deployment
--- a/crates/mh_gateway/src/node.rs
+++ b/crates/mh_gateway/src/node.rs
@@ -4,10 +4,10 @@
 mod node_peers;
 mod pending_replies;
 mod ports;
-mod relay_port;
 mod shutdown;
 mod state_dump;
 mod supervise;
+mod tunnel_port;
 
 pub use gateway_node::GatewayNode;
 pub use shutdown::{StopOutcome, run_until_signal};
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -68,8 +68,8 @@
     next_clean_up: Mutex<Option<Instant>>,
     epoch: watch::Sender<u64>,
     rebuilds: AtomicU64,
-    /// Connections to backend servers that this VM relays for others.
-    pub(super) relaying: AtomicUsize,
+    /// Tunnels to backend servers that are open for other VMs.
+    pub(super) open_tunnels: AtomicUsize,
 }
 
 /// Locks a mutex, also after another thread has panicked while it held the lock.
@@ -135,7 +135,7 @@
             next_clean_up: Mutex::default(),
             epoch: watch::Sender::new(0),
             rebuilds: AtomicU64::new(0),
-            relaying: AtomicUsize::new(0),
+            open_tunnels: AtomicUsize::new(0),
             cfg,
         });
         node.gateway
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -57,13 +57,13 @@
             |c| &c.full,
         ),
         counter("connects", "Connections made to backend servers", |c| &c.connects),
-        counter("relayed", "Connections to backend servers through other VMs", |c| {
-            &c.relayed
+        counter("tunnels", "Tunnels to backend servers through other VMs", |c| {
+            &c.tunnels
         }),
         counter(
-            "relayed_for_others",
-            "Connections to backend servers for other VMs",
-            |c| &c.relayed_for_others,
+            "tunnels_for_others",
+            "Tunnels to backend servers that were opened for other VMs",
+            |c| &c.tunnels_for_others,
         ),
         gauge("cut_off", "Whether this VM reaches no backend server itself", |node| {
             u64::from(node.gateway.paths().is_cut_off())
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -15,8 +15,8 @@
 use tokio::time::Duration;
 
 use super::GatewayNode;
-use super::relay_port::handle_connect;
 use super::state_dump::state_dump;
+use super::tunnel_port::handle_connect;
 use crate::control::{CHANGES_PATH, parse_changes_query};
 use crate::request::count_lookup;
 
@@ -90,7 +90,7 @@
     text_response(status, String::new())
 }
 
-/// Serves feed changes to other VMs of the region, and connections to backend servers to VMs that are cut off from them.
+/// Serves feed changes to other VMs of the region, and tunnels to backend servers to VMs that are cut off from them.
 pub(super) fn serve_peers(listener: TcpListener, node: Arc<GatewayNode>) {
     tokio::spawn(serve_port(listener, node, |node, req| {
         Box::pin(async move {
--- a/crates/mh_gateway/src/node/relay_port.rs
+++ b/crates/mh_gateway/src/node/tunnel_port.rs
@@ -21,30 +21,30 @@
 /// Longest wait for a server: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Fraction of the file descriptors for relayed connections; each needs two.
-const RELAY_DESCRIPTOR_FRACTION: f64 = 0.2;
+/// Fraction of the file descriptors for tunnels; each needs two.
+const TUNNEL_DESCRIPTOR_FRACTION: f64 = 0.2;
 
-/// Counts a relayed connection until it is dropped.
-struct RelayGuard(Arc<GatewayNode>);
+/// Counts a tunnel until it is dropped.
+struct TunnelGuard(Arc<GatewayNode>);
 
-impl RelayGuard {
+impl TunnelGuard {
     /// Reserves the descriptors of one connection; `None` if all are in use.
     fn reserve(node: &Arc<GatewayNode>) -> Option<Self> {
-        let most = (node.cfg.descriptors as f64 * RELAY_DESCRIPTOR_FRACTION) as usize / 2;
+        let most = (node.cfg.descriptors as f64 * TUNNEL_DESCRIPTOR_FRACTION) as usize / 2;
         let guard = Self(Arc::clone(node));
-        (node.relaying.fetch_add(1, Ordering::Relaxed) < most).then_some(guard)
+        (node.open_tunnels.fetch_add(1, Ordering::Relaxed) < most).then_some(guard)
     }
 }
 
-impl Drop for RelayGuard {
+impl Drop for TunnelGuard {
     fn drop(&mut self) {
-        self.0.relaying.fetch_sub(1, Ordering::Relaxed);
+        self.0.open_tunnels.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 /// Connects another VM that is cut off from the backend servers to one of them.
 ///
-/// The connection is never relayed a second time, so that VMs cannot form a loop. Only listed servers can be reached.
+/// A tunnel leads to the server and not to a third VM, so that VMs cannot form a loop. Only listed servers can be reached.
 pub(super) async fn handle_connect(node: &Arc<GatewayNode>, mut req: Request<Incoming>) -> Response<Full<Bytes>> {
     let status = |status: StatusCode| {
         let mut answer = Response::new(Full::new(Bytes::new()));
@@ -59,7 +59,7 @@
     if node.gateway.is_leaving() || paths.is_cut_off() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let Some(guard) = RelayGuard::reserve(node) else {
+    let Some(guard) = TunnelGuard::reserve(node) else {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     };
     let Ok(Ok(server)) = tokio::time::timeout(CONNECT_TIMEOUT, connect_to_server(addr)).await else {
@@ -71,10 +71,10 @@
             StatusCode::BAD_GATEWAY
         });
     };
-    increment(&node.gateway.counters().relayed_for_others);
+    increment(&node.gateway.counters().tunnels_for_others);
     tokio::spawn(async move {
         if let Ok(upgraded) = hyper::upgrade::on(&mut req).await {
-            relay(upgraded, server).await;
+            pass_bytes(upgraded, server).await;
         }
         drop(guard);
     });
@@ -92,7 +92,7 @@
 }
 
 /// Passes bytes on between another VM and a server until one of them closes its connection.
-async fn relay(upgraded: Upgraded, mut server: TcpStream) {
+async fn pass_bytes(upgraded: Upgraded, mut server: TcpStream) {
     let Ok(Parts { io, read_buf, .. }) = upgraded.downcast::<TokioIo<TcpStream>>() else {
         return;
     };
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -10,16 +10,16 @@
 mod gateway;
 mod limit_gate;
 mod outgoing;
-mod relay_client;
 mod request_context;
 mod server_paths;
 mod streamed_answer;
 mod timings;
+mod tunnel_client;
 
 pub use counters::Counters;
 pub(crate) use counters::{count_lookup, increment};
 pub use gateway::Gateway;
 pub use limit_gate::LimitGate;
-pub(crate) use relay_client::SERVER_HEADER;
 pub use server_paths::ServerPaths;
 pub(crate) use timings::Timings;
+pub(crate) use tunnel_client::SERVER_HEADER;
--- a/crates/mh_gateway/src/request/counters.rs
+++ b/crates/mh_gateway/src/request/counters.rs
@@ -20,10 +20,10 @@
     pub full: AtomicU64,
     /// Connections made to backend servers.
     pub connects: AtomicU64,
-    /// Connections to backend servers that other VMs relay.
-    pub relayed: AtomicU64,
-    /// Connections to backend servers that this VM has relayed for others.
-    pub relayed_for_others: AtomicU64,
+    /// Tunnels to backend servers through other VMs.
+    pub tunnels: AtomicU64,
+    /// Tunnels to backend servers that this VM has opened for others.
+    pub tunnels_for_others: AtomicU64,
     /// Look-ups answered.
     pub lookups: AtomicU64,
     /// Requests that are running now.
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -115,7 +115,7 @@
                 cx.record_loss(&placement);
             }
             // While this VM is cut off, the connection broke and not the server.
-            let is_path_fault = !connection.is_relayed() && cx.paths.is_cut_off();
+            let is_path_fault = !connection.is_tunnelled() && cx.paths.is_cut_off();
             let outcome = if is_caller_fault || is_path_fault {
                 Outcome::Cancelled
             } else {
@@ -195,7 +195,7 @@
     req: Request<Upload>,
 ) -> Option<Result<Response<Incoming>, TrySendError<Request<Upload>>>> {
     let head_timeout = (cx.remaining() / HEAD_TIME_DIVISOR).clamp(MIN_HEAD_TIMEOUT, MAX_HEAD_TIMEOUT);
-    let may_give_up = cx.route.kind.may_repeat() && !connection.is_relayed();
+    let may_give_up = cx.route.kind.may_repeat() && !connection.is_tunnelled();
     tokio::select! {
         sent = connection.send(req, cx.answer_by(), head_timeout) => {
             if matches!(sent, Some(Ok(_))) {
--- a/crates/mh_gateway/src/request/server_paths.rs
+++ b/crates/mh_gateway/src/request/server_paths.rs
@@ -7,14 +7,14 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use mh_edge::{BoxFuture, ConnectionPath, Dial, Dialed, connect_to_server};
-use mh_path::{CheckResult, Reachability, RelayVm, Relays};
+use mh_path::{CheckResult, Reachability, TunnelVm, TunnelVms};
 use mh_types::{Code, Event, RegionName, ServerName, emit};
 use rand::seq::IteratorRandom;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::counters::{Counters, increment};
-use super::relay_client::{RelayError, open_relayed};
+use super::tunnel_client::{TunnelError, open_tunnel};
 use crate::LiveState;
 use crate::node::lock;
 
@@ -28,8 +28,8 @@
 /// Longest wait for a server in a check: several round trips between regions.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Longest time for which a relay may take to connect to a server. A relay that is cut off as well answers within it.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time that another VM may take to open a tunnel. One that is cut off as well answers within it.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time without an answer from any server after which a request that waits for one starts a check.
 const SILENCE: Duration = Duration::from_millis(300);
@@ -40,7 +40,7 @@
     reachability: Mutex<Reachability>,
     /// Whether this VM is cut off, and the number of checks so far.
     state: watch::Sender<(bool, u64)>,
-    relays: Mutex<(RegionName, Relays)>,
+    tunnel_vms: Mutex<(RegionName, TunnelVms)>,
     live: Arc<ArcSwap<LiveState>>,
     counters: Arc<Counters>,
     created: Instant,
@@ -53,7 +53,7 @@
         Self {
             reachability: Mutex::default(),
             state: watch::Sender::new((false, 0)),
-            relays: Mutex::new(("".into(), Relays::default())),
+            tunnel_vms: Mutex::new(("".into(), TunnelVms::default())),
             live,
             counters,
             created: Instant::now(),
@@ -61,9 +61,9 @@
         }
     }
 
-    /// Sets the region of this VM and the other VMs that may relay its connections.
-    pub(crate) fn set_relays(&self, own_region: &RegionName, vms: Vec<RelayVm>) {
-        let mut held = lock(&self.relays);
+    /// Sets the region of this VM and the other VMs that may open tunnels for it.
+    pub(crate) fn set_tunnel_vms(&self, own_region: &RegionName, vms: Vec<TunnelVm>) {
+        let mut held = lock(&self.tunnel_vms);
         held.0 = own_region.clone();
         held.1.set_vms(vms);
     }
@@ -159,7 +159,7 @@
     ) -> Result<Dialed, Code> {
         if self.is_cut_off() {
             self.start_check();
-            return self.dial_relayed(server, addr, regions).await;
+            return self.dial_tunnel(server, addr, regions).await;
         }
         let direct = connect_to_server(addr);
         tokio::pin!(direct);
@@ -181,47 +181,44 @@
         }
         self.start_check();
         if self.check_ended().await {
-            self.dial_relayed(server, addr, regions).await
+            self.dial_tunnel(server, addr, regions).await
         } else {
             Err(Code::ConnectFailed)
         }
     }
 
-    async fn dial_relayed(
-        &self,
-        server: &ServerName,
-        addr: SocketAddr,
-        regions: &[RegionName],
-    ) -> Result<Dialed, Code> {
+    async fn dial_tunnel(&self, server: &ServerName, addr: SocketAddr, regions: &[RegionName]) -> Result<Dialed, Code> {
         let chosen = {
-            let relays = lock(&self.relays);
-            relays.1.choose(Instant::now(), &relays.0, regions, rand::random())
+            let tunnel_vms = lock(&self.tunnel_vms);
+            tunnel_vms
+                .1
+                .choose(Instant::now(), &tunnel_vms.0, regions, rand::random())
         };
-        for RelayVm {
+        for TunnelVm {
             vm,
             region,
-            addr: relay,
+            addr: vm_addr,
         } in chosen
         {
-            let opened = tokio::time::timeout(RELAY_TIMEOUT, open_relayed(relay, server, addr)).await;
+            let opened = tokio::time::timeout(TUNNEL_TIMEOUT, open_tunnel(vm_addr, server, addr)).await;
             let error = match opened {
                 Ok(Ok(stream)) => {
-                    increment(&self.counters.relayed);
-                    let path = ConnectionPath::Relayed { vm, region };
+                    increment(&self.counters.tunnels);
+                    let path = ConnectionPath::Tunnel { vm, region };
                     return Ok(Dialed { stream, path });
                 }
-                // Another relay would not reach the server either.
-                Ok(Err(RelayError::ServerUnreachable)) => return Err(Code::ConnectFailed),
+                // Another VM would not reach the server either.
+                Ok(Err(TunnelError::ServerUnreachable)) => return Err(Code::ConnectFailed),
                 Ok(Err(error)) => error,
-                Err(_) => RelayError::Unreachable,
+                Err(_) => TunnelError::Unreachable,
             };
             emit!(
-                Event::RelayFailed,
+                Event::TunnelFailed,
                 vm = vm,
                 server = server,
                 error = format_args!("{error:?}")
             );
-            lock(&self.relays).1.on_refused(&vm, Instant::now());
+            lock(&self.tunnel_vms).1.on_refused(&vm, Instant::now());
         }
         Err(Code::NoPath)
     }
@@ -242,9 +239,9 @@
     fn may_reuse(&self, path: &ConnectionPath) -> bool {
         match path {
             ConnectionPath::Direct => !self.paths.is_cut_off(),
-            ConnectionPath::Relayed { vm, region } => {
+            ConnectionPath::Tunnel { vm, region } => {
                 let is_allowed = self.regions.is_empty() || self.regions.contains(region);
-                is_allowed && self.paths.is_cut_off() && lock(&self.paths.relays).1.contains(vm)
+                is_allowed && self.paths.is_cut_off() && lock(&self.paths.tunnel_vms).1.contains(vm)
             }
         }
     }
--- a/crates/mh_gateway/tests/cut_off.rs
+++ b/crates/mh_gateway/tests/cut_off.rs
@@ -79,9 +79,9 @@
         self.fleet.listen[CUT_OFF].callers
     }
 
-    fn relayed(&self) -> u64 {
+    fn tunnels(&self) -> u64 {
         let counters = self.fleet.vms[CUT_OFF].gateway().counters();
-        counters.relayed.load(Ordering::Relaxed)
+        counters.tunnels.load(Ordering::Relaxed)
     }
 }
 
@@ -134,7 +134,7 @@
             }
         }
 
-        assert!(cut_fleet.relayed() > 0);
+        assert!(cut_fleet.tunnels() > 0);
         let seen = cut_fleet.server.seen();
         assert_eq!(seen.len(), 20, "{cut:?}: each request runs once");
         assert!(
@@ -164,13 +164,13 @@
         );
         assert!(answer.head.contains("retry-after: 0.050"), "{answer:?}");
         assert!(cut_fleet.server.seen().is_empty());
-        assert_eq!(cut_fleet.relayed(), 0);
+        assert_eq!(cut_fleet.tunnels(), 0);
     }
 }
 
-/// Guards against an answer that looks complete although its server reset the connection to the relay.
+/// Guards against an answer that looks complete although its server reset the connection behind the tunnel.
 #[tokio::test(start_paused = true)]
-async fn a_reset_passes_through_the_relay() {
+async fn a_reset_passes_through_the_tunnel() {
     let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[OK, RESET_WITHOUT_LENGTH]).await;
     send_to(cut_fleet.addr(), "POST", "/pay/first", "").await;
 
@@ -180,9 +180,9 @@
     assert_eq!(cut_fleet.server.seen().len(), 2);
 }
 
-/// Guards against a server that works for a caller which has left, behind the relay.
+/// Guards against a server that works for a caller which has left, behind the tunnel.
 #[tokio::test(start_paused = true)]
-async fn a_caller_that_leaves_ends_the_relayed_connection() {
+async fn a_caller_that_leaves_ends_the_tunnel() {
     let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[OK, Reply::Hang]).await;
     send_to(cut_fleet.addr(), "GET", "/safe/first", "").await;
     let mut caller = TcpStream::connect(cut_fleet.addr()).await.expect("the VM listens");
@@ -195,14 +195,14 @@
     wait_until(|| cut_fleet.server.abandoned() == 1).await;
 }
 
-/// Guards against a relay that connects to addresses that are no backend servers.
+/// Guards against tunnels to addresses that are no backend servers.
 #[tokio::test(start_paused = true)]
-async fn only_listed_servers_are_relayed_to() {
+async fn tunnels_lead_to_listed_servers_only() {
     let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[]).await;
     let other = ScriptedServer::start(&[]).await;
-    let relay = cut_fleet.fleet.listen[1].peers;
+    let vm = cut_fleet.fleet.listen[1].peers;
     for header in ["", "mangohook-server: unlisted\r\n"] {
-        let mut stream = TcpStream::connect(relay).await.expect("the VM listens");
+        let mut stream = TcpStream::connect(vm).await.expect("the VM listens");
         let text = format!(
             "CONNECT {addr} HTTP/1.1\r\nhost: {addr}\r\n{header}connection: close\r\n\r\n",
             addr = other.addr
--- a/crates/mh_path/src/lib.rs
+++ b/crates/mh_path/src/lib.rs
@@ -1,9 +1,9 @@
-//! Paths to backend servers: a VM that cannot reach any server itself uses another VM as a relay.
+//! Paths to backend servers: a VM that cannot reach any server itself uses tunnels through other VMs.
 //!
 //! A VM can lose its links to all backend servers while callers and other VMs still reach it. [`Reachability`] tells
 //! that case from servers that are down: a failed connection starts a check, in which a few servers are contacted at the
 //! same time, and only if none of them can be reached is the VM cut off. While it is, checks go on, so that it uses its
-//! own links again as soon as they work. [`Relays`] chooses the other VMs through which connections are opened meanwhile.
+//! own links again as soon as they work. [`TunnelVms`] chooses the other VMs through which connections are opened meanwhile.
 //!
 //! The crate does no I/O; the caller opens the connections and reports what became of them.
 //!
@@ -26,9 +26,9 @@
 //! ```
 
 mod reachability;
-mod relay_vm;
-mod relays;
+mod tunnel_vm;
+mod tunnel_vms;
 
 pub use reachability::{CheckResult, Reachability};
-pub use relay_vm::RelayVm;
-pub use relays::{MAX_RELAYS_PER_CONNECTION, Relays};
+pub use tunnel_vm::TunnelVm;
+pub use tunnel_vms::{MAX_TUNNEL_VMS, TunnelVms};
--- a/crates/mh_path/src/relays.rs
+++ b/crates/mh_path/src/tunnel_vms.rs
@@ -5,26 +5,26 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use crate::RelayVm;
+use crate::TunnelVm;
 
-/// Relays that are tried for one connection; each may take up to a connect timeout.
-pub const MAX_RELAYS_PER_CONNECTION: usize = 3;
+/// VMs that are asked for one tunnel; each may take up to a connect timeout.
+pub const MAX_TUNNEL_VMS: usize = 3;
 
-/// Time for which a VM that could not relay a connection is not asked again: as long as the VM needs to notice that it
+/// Time for which a VM that could not open a tunnel is not asked again: as long as the VM needs to notice that it
 /// reaches the servers again.
 const REST: Duration = Duration::from_secs(1);
 
-/// The VMs that may relay connections for this one.
+/// The VMs that may open tunnels for this one.
 #[derive(Debug, Default)]
-pub struct Relays {
-    vms: Vec<RelayVm>,
-    /// VMs that could not relay a connection, with the time from which they may be asked again.
+pub struct TunnelVms {
+    vms: Vec<TunnelVm>,
+    /// VMs that could not open a tunnel, with the time from which they may be asked again.
     resting: HashMap<VmName, Instant>,
 }
 
-impl Relays {
+impl TunnelVms {
     /// Replaces the list of VMs that are alive.
-    pub fn set_vms(&mut self, vms: Vec<RelayVm>) {
+    pub fn set_vms(&mut self, vms: Vec<TunnelVm>) {
         self.resting.retain(|vm, _| vms.iter().any(|listed| listed.vm == *vm));
         self.vms = vms;
     }
@@ -34,7 +34,7 @@
         self.vms.iter().any(|listed| listed.vm == *vm)
     }
 
-    /// Records that `vm` could not relay a connection.
+    /// Records that `vm` could not open a tunnel.
     pub fn on_refused(&mut self, vm: &VmName, now: Instant) {
         self.resting.insert(vm.clone(), now + REST);
     }
@@ -48,21 +48,21 @@
         own_region: &RegionName,
         regions: &[RegionName],
         rnd: u64,
-    ) -> SmallVec<[RelayVm; MAX_RELAYS_PER_CONNECTION]> {
-        let is_rested = |vm: &RelayVm| self.resting.get(&vm.vm).is_none_or(|at| now >= *at);
-        let is_allowed = |vm: &RelayVm| regions.is_empty() || regions.contains(&vm.region);
-        let usable: Vec<&RelayVm> = self.vms.iter().filter(|vm| is_rested(vm) && is_allowed(vm)).collect();
-        let (near, far): (Vec<&RelayVm>, Vec<&RelayVm>) = usable.into_iter().partition(|vm| vm.region == *own_region);
+    ) -> SmallVec<[TunnelVm; MAX_TUNNEL_VMS]> {
+        let is_rested = |vm: &TunnelVm| self.resting.get(&vm.vm).is_none_or(|at| now >= *at);
+        let is_allowed = |vm: &TunnelVm| regions.is_empty() || regions.contains(&vm.region);
+        let usable: Vec<&TunnelVm> = self.vms.iter().filter(|vm| is_rested(vm) && is_allowed(vm)).collect();
+        let (near, far): (Vec<&TunnelVm>, Vec<&TunnelVm>) = usable.into_iter().partition(|vm| vm.region == *own_region);
         rotated(&near, rnd)
             .chain(rotated(&far, rnd))
-            .take(MAX_RELAYS_PER_CONNECTION)
+            .take(MAX_TUNNEL_VMS)
             .cloned()
             .collect()
     }
 }
 
 /// Iterates over all `vms`, from a random one on.
-fn rotated<'a>(vms: &'a [&'a RelayVm], rnd: u64) -> impl Iterator<Item = &'a RelayVm> {
+fn rotated<'a>(vms: &'a [&'a TunnelVm], rnd: u64) -> impl Iterator<Item = &'a TunnelVm> {
     let start = (rnd % vms.len().max(1) as u64) as usize;
     vms.iter().cycle().skip(start).take(vms.len()).copied()
 }
--- a/crates/mh_path/tests/path.rs
+++ b/crates/mh_path/tests/path.rs
@@ -3,24 +3,24 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use mh_path::{CheckResult, MAX_RELAYS_PER_CONNECTION, Reachability, RelayVm, Relays};
+use mh_path::{CheckResult, MAX_TUNNEL_VMS, Reachability, TunnelVm, TunnelVms};
 use mh_types::RegionName;
 use proptest::prelude::*;
 use tokio::time::Instant;
 
-fn relay(n: usize, region: &str) -> RelayVm {
-    RelayVm {
+fn tunnel_vm(n: usize, region: &str) -> TunnelVm {
+    TunnelVm {
         vm: format!("vm-{n}").as_str().into(),
         region: region.into(),
         addr: ([127, 0, 0, 1], 7000 + n as u16).into(),
     }
 }
 
-fn relays(near: usize, far: usize) -> Relays {
-    let mut relays = Relays::default();
-    let near = (0..near).map(|n| relay(n, "north"));
-    relays.set_vms(near.chain((100..100 + far).map(|n| relay(n, "south"))).collect());
-    relays
+fn tunnel_vms(near: usize, far: usize) -> TunnelVms {
+    let mut tunnel_vms = TunnelVms::default();
+    let near = (0..near).map(|n| tunnel_vm(n, "north"));
+    tunnel_vms.set_vms(near.chain((100..100 + far).map(|n| tunnel_vm(n, "south"))).collect());
+    tunnel_vms
 }
 
 /// Guards against a VM that takes a server that is down for a cut of its own links.
@@ -57,15 +57,15 @@
     assert!(!changed && !reachability.is_cut_off());
 }
 
-/// Guards against all cut-off VMs relaying through the same VM.
+/// Guards against all cut-off VMs using tunnels through the same VM.
 #[test]
-fn connections_spread_over_the_relays_of_the_region() {
-    let relays = relays(5, 5);
+fn tunnels_spread_over_the_vms_of_the_region() {
+    let tunnel_vms = tunnel_vms(5, 5);
     let mut first_choices: HashMap<String, usize> = HashMap::new();
 
     for n in 0..1000_u64 {
         let rnd = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let chosen = relays.choose(Instant::now(), &"north".into(), &[], rnd);
+        let chosen = tunnel_vms.choose(Instant::now(), &"north".into(), &[], rnd);
         *first_choices.entry(chosen[0].vm.to_string()).or_default() += 1;
     }
 
@@ -86,19 +86,19 @@
         rnd in any::<u64>(),
     ) {
         let now = Instant::now();
-        let mut relays = relays(near, far);
+        let mut tunnel_vms = tunnel_vms(near, far);
         for n in &refused {
-            relays.on_refused(&relay(*n, "").vm, now);
+            tunnel_vms.on_refused(&tunnel_vm(*n, "").vm, now);
         }
         let regions: &[RegionName] = if homed { &["south".into()] } else { &[] };
 
-        let chosen = relays.choose(now, &"north".into(), regions, rnd);
+        let chosen = tunnel_vms.choose(now, &"north".into(), regions, rnd);
 
-        prop_assert!(chosen.len() <= MAX_RELAYS_PER_CONNECTION);
+        prop_assert!(chosen.len() <= MAX_TUNNEL_VMS);
         prop_assert!(chosen.iter().all(|vm| !homed || vm.region.as_str() == "south"));
-        prop_assert!(refused.iter().all(|n| chosen.iter().all(|vm| vm.vm != relay(*n, "").vm)));
+        prop_assert!(refused.iter().all(|n| chosen.iter().all(|vm| vm.vm != tunnel_vm(*n, "").vm)));
         let rested = (0..near).chain(100..100 + far).filter(|n| !refused.contains(n) && (!homed || *n >= 100)).count();
-        prop_assert_eq!(chosen.len(), rested.min(MAX_RELAYS_PER_CONNECTION));
+        prop_assert_eq!(chosen.len(), rested.min(MAX_TUNNEL_VMS));
         // VMs of the own region come first.
         prop_assert!(chosen.is_sorted_by_key(|vm| vm.region.as_str() != "north"));
     }
--- a/crates/mh_types/src/code.rs
+++ b/crates/mh_types/src/code.rs
@@ -74,7 +74,7 @@
     OperationUnresolved = 1022, 409, false, "An earlier attempt at the operation ended with an unknown result.";
     PartUnreadable = 1023, 503, true, "The part of the settings that the request needs cannot be read.";
     RequestQuarantined = 1024, 503, true, "The request crashed several backend servers and is not sent to others for now.";
-    NoPath = 1025, 503, true, "This VM cannot reach any backend server, and no other VM relays its connections.";
+    NoPath = 1025, 503, true, "This VM cannot reach any backend server, and no other VM opens a tunnel to one.";
 
     NoServer = 2001, 503, true, "No backend server can take the request.";
     NoCapacity = 2002, 503, true, "Every backend server of the service is at its limit.";
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -92,8 +92,8 @@
     Suspended = 606, Warn, "The machine was suspended; the data that this VM holds is read again.";
     ReaderChanged = 607, Info, "This VM began or ceased to read the store for the others of its region.";
     FetchFailed = 608, Warn, "Changes could not be fetched from another VM.";
-    PathChanged = 609, Warn, "This VM cannot reach any backend server itself and uses other VMs as relays, or no longer.";
-    RelayFailed = 610, Warn, "Another VM could not relay a connection to a backend server.";
+    PathChanged = 609, Warn, "This VM cannot reach any backend server itself and uses tunnels through other VMs, or no longer.";
+    TunnelFailed = 610, Warn, "A tunnel through another VM to a backend server could not be opened.";
     RequestDeferred = 650, Info, "A request was stored for later delivery.";
     DeferredDelivered = 651, Info, "A stored request was delivered.";
     DeferredUnreadable = 652, Error, "A stored request cannot be read; it stays where it is.";
