Tell the end of a check only with its result, and time-outs by the time allowed

Two faults of the tunnels, found by reading the code. A request that waits for a check could see that it had ended before its result was stored, and fail once. A connect that timed out while its VM is cut off counted against the server if the request had less than 0.4 s left.

--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -60,19 +60,9 @@
 ) -> Result<ServerAnswer, Failure> {
     let server = placement.spec().name.clone();
     let attempt = Attempt::new();
-    let connecting_since = Instant::now();
     let connection = match connect(cx, &placement, counters).await {
         Ok(connection) => connection,
-        Err(code) => {
-            // Without a path to any server, nothing is known about this one.
-            let has_timed_out = connecting_since.elapsed() >= CONNECT_TIMEOUT;
-            let outcome = if code == Code::NoPath || (has_timed_out && cx.paths.is_cut_off()) {
-                Outcome::Cancelled
-            } else {
-                Outcome::Failed
-            };
-            return Err(end_attempt(cx, placement, outcome, attempt.not_run(code)));
-        }
+        Err((code, outcome)) => return Err(end_attempt(cx, placement, outcome, attempt.not_run(code))),
     };
     if cx.remaining().is_zero() {
         return Err(end_attempt(
@@ -126,15 +116,32 @@
     }
 }
 
-async fn connect(cx: &RequestContext, placement: &Placement, counters: &Counters) -> Result<Connection, Code> {
-    let connections = cx.backends.connections(&placement.spec().name).ok_or(Code::NoServer)?;
+async fn connect(
+    cx: &RequestContext,
+    placement: &Placement,
+    counters: &Counters,
+) -> Result<Connection, (Code, Outcome)> {
+    let connections = cx.backends.connections(&placement.spec().name);
+    let connections = connections.ok_or((Code::NoServer, Outcome::Failed))?;
     let max_idle_time = if cx.route.kind.may_repeat() {
         ANY_IDLE_TIME
     } else {
         MAX_IDLE_NON_IDEMPOTENT
     };
     let limit = CONNECT_TIMEOUT.min(cx.remaining());
-    let connection = connections.take(&cx.dialer(), limit, max_idle_time).await?;
+    let started = Instant::now();
+    let connection = connections.take(&cx.dialer(), limit, max_idle_time).await;
+    let connection = connection.map_err(|code| {
+        // Without a path to any server, nothing is known about this one.
+        let has_timed_out = started.elapsed() >= limit;
+        let is_path_fault = code == Code::NoPath || (has_timed_out && cx.paths.is_cut_off());
+        let outcome = if is_path_fault {
+            Outcome::Cancelled
+        } else {
+            Outcome::Failed
+        };
+        (code, outcome)
+    })?;
     if let Some(connect_time) = connection.connect_time {
         increment(&counters.connects);
         placement.connected(connect_time);
--- a/crates/mh_gateway/src/request/server_paths.rs
+++ b/crates/mh_gateway/src/request/server_paths.rs
@@ -121,10 +121,10 @@
             }
             result.failed += 1;
         }
-        let (is_changed, is_cut_off) = {
-            let mut reachability = lock(&self.reachability);
-            (reachability.on_check(Instant::now(), result), reachability.is_cut_off())
-        };
+        // Whoever waits for the check must not see its end before its result.
+        let mut reachability = lock(&self.reachability);
+        let is_changed = reachability.on_check(Instant::now(), result);
+        let is_cut_off = reachability.is_cut_off();
         if is_changed {
             emit!(Event::PathChanged, cut_off = is_cut_off, failed = result.failed);
             live.backends
