--- a/crates/mh_gateway/src/request/server_paths.rs
+++ b/crates/mh_gateway/src/request/server_paths.rs
@@ -204,7 +204,6 @@
             let error = match opened {
                 Ok(Ok(stream)) => {
                     increment(&self.counters.tunnels);
-                    lock(&self.tunnel_vms).1.on_opened(&vm);
                     let path = ConnectionPath::Tunnel { vm, region };
                     return Ok(Dialed { stream, path });
                 }
--- a/crates/mh_path/src/tunnel_vms.rs
+++ b/crates/mh_path/src/tunnel_vms.rs
@@ -7,36 +7,25 @@
 
 use crate::TunnelVm;
 
-/// VMs that are asked for one tunnel. One that is cut off itself refuses within a round trip, and nearly all may be cut off.
-pub const MAX_TUNNEL_VMS: usize = 8;
+/// VMs that are asked for one tunnel; each may take up to a connect timeout.
+pub const MAX_TUNNEL_VMS: usize = 3;
 
-/// Time for which a VM that could not open a tunnel is not asked again; it doubles with each further refusal.
-const MIN_REST: Duration = Duration::from_secs(1);
-
-/// Maximum doublings of [`MIN_REST`].
-const MAX_DOUBLINGS: u32 = 2;
-
-/// VMs of the own region that are asked before one of another region, while none is known that can open a tunnel.
-const NEAR_PER_FAR: usize = 2;
-
-/// What became of the last tunnel through a VM.
-#[derive(Clone, Copy, Debug)]
-enum LastTunnel {
-    Opened,
-    Refused { rests_until: Instant, refusals: u32 },
-}
+/// Time for which a VM that could not open a tunnel is not asked again: as long as the VM needs to notice that it
+/// reaches the servers again.
+const REST: Duration = Duration::from_secs(1);
 
 /// The VMs that may open tunnels for this one.
 #[derive(Debug, Default)]
 pub struct TunnelVms {
     vms: Vec<TunnelVm>,
-    last: HashMap<VmName, LastTunnel>,
+    /// VMs that could not open a tunnel, with the time from which they may be asked again.
+    resting: HashMap<VmName, Instant>,
 }
 
 impl TunnelVms {
     /// Replaces the list of VMs that are alive.
     pub fn set_vms(&mut self, vms: Vec<TunnelVm>) {
-        self.last.retain(|vm, _| vms.iter().any(|listed| listed.vm == *vm));
+        self.resting.retain(|vm, _| vms.iter().any(|listed| listed.vm == *vm));
         self.vms = vms;
     }
 
@@ -45,27 +34,14 @@
         self.vms.iter().any(|listed| listed.vm == *vm)
     }
 
-    /// Records that `vm` opened a tunnel.
-    pub fn on_opened(&mut self, vm: &VmName) {
-        self.last.insert(vm.clone(), LastTunnel::Opened);
-    }
-
     /// Records that `vm` could not open a tunnel.
     pub fn on_refused(&mut self, vm: &VmName, now: Instant) {
-        let before = match self.last.get(vm) {
-            Some(LastTunnel::Refused { refusals, .. }) => *refusals,
-            _ => 0,
-        };
-        let refused = LastTunnel::Refused {
-            rests_until: now + MIN_REST * (1 << before.min(MAX_DOUBLINGS)),
-            refusals: before + 1,
-        };
-        self.last.insert(vm.clone(), refused);
+        self.resting.insert(vm.clone(), now + REST);
     }
 
-    /// Returns the VMs to ask for a tunnel, in the order in which to ask them: those that opened the last one first, and
-    /// VMs of `own_region` before others. The order of equal ones is random, so that the load spreads. If `regions` is not
-    /// empty, the request must not leave these regions.
+    /// Returns the VMs to ask for a connection, in the order in which to ask them: VMs of `own_region` before others, and
+    /// a random one first, so that the load spreads over all of them. If `regions` is not empty, the request must not
+    /// leave these regions.
     pub fn choose(
         &self,
         now: Instant,
@@ -73,31 +49,20 @@
         regions: &[RegionName],
         rnd: u64,
     ) -> SmallVec<[TunnelVm; MAX_TUNNEL_VMS]> {
+        let is_rested = |vm: &TunnelVm| self.resting.get(&vm.vm).is_none_or(|at| now >= *at);
         let is_allowed = |vm: &TunnelVm| regions.is_empty() || regions.contains(&vm.region);
-        let (mut near, mut far, mut opened_near, mut opened_far) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        for vm in self.vms.iter().filter(|vm| is_allowed(vm)) {
-            let is_near = vm.region == *own_region;
-            match self.last.get(&vm.vm) {
-                Some(LastTunnel::Refused { rests_until, .. }) if now < *rests_until => {}
-                Some(LastTunnel::Opened) if is_near => opened_near.push(vm),
-                Some(LastTunnel::Opened) => opened_far.push(vm),
-                _ if is_near => near.push(vm),
-                _ => far.push(vm),
-            }
-        }
-        for group in [&mut near, &mut far, &mut opened_near, &mut opened_far] {
-            let start = rnd % group.len().max(1) as u64;
-            group.rotate_left(start as usize);
-        }
-        let mut far = far.into_iter();
-        let mut untried = Vec::new();
-        for (n, vm) in near.into_iter().enumerate() {
-            untried.push(vm);
-            if n % NEAR_PER_FAR == NEAR_PER_FAR - 1 {
-                untried.extend(far.next());
-            }
-        }
-        let chosen = opened_near.into_iter().chain(opened_far).chain(untried).chain(far);
-        chosen.take(MAX_TUNNEL_VMS).cloned().collect()
+        let usable: Vec<&TunnelVm> = self.vms.iter().filter(|vm| is_rested(vm) && is_allowed(vm)).collect();
+        let (near, far): (Vec<&TunnelVm>, Vec<&TunnelVm>) = usable.into_iter().partition(|vm| vm.region == *own_region);
+        rotated(&near, rnd)
+            .chain(rotated(&far, rnd))
+            .take(MAX_TUNNEL_VMS)
+            .cloned()
+            .collect()
     }
 }
+
+/// Iterates over all `vms`, from a random one on.
+fn rotated<'a>(vms: &'a [&'a TunnelVm], rnd: u64) -> impl Iterator<Item = &'a TunnelVm> {
+    let start = (rnd % vms.len().max(1) as u64) as usize;
+    vms.iter().cycle().skip(start).take(vms.len()).copied()
+}
