Review case 2: a quota has two owners while a VM is cut off from the store

QUOTA breaks: 752 to 759 requests of a tenant run in 5 s, 673.4 are allowed. A VM is stopped for planned work, another takes over its slots and is then cut off from the store for 5.5 s; the first one returns and uses its slots at once, the other goes on using all. Code: mh_gateway control/quota_controller.rs, sync (owners from each VM's copy of the list) and assign (HandedOver within STARTUP_PERIOD).

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod http;
 mod json;
 mod link;
+mod quota_owners;
 mod record;
 mod server;
 mod store;
@@ -31,6 +32,7 @@
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
     let verdict = match case.as_str() {
         "tunnel-end" => tunnel_end::play(&record, &temporary, has_trouble),
+        "quota-owners" => quota_owners::play(&record, &temporary, has_trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,32 @@
 /// Addresses of servers as one VM sees them: each VM has links of its own.
 pub type Links = Arc<Mutex<BTreeMap<String, String>>>;
 
+/// Time between two looks whether a cut is over.
+const CUT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The network between one VM and the store. While it is cut, nothing is answered, and nothing that was sent arrives.
+#[derive(Clone, Default)]
+pub struct Path(Arc<AtomicBool>);
+
+impl Path {
+    pub fn set_cut(&self, is_cut: bool) {
+        self.0.store(is_cut, Ordering::SeqCst);
+    }
+
+    fn is_cut(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    /// Waits for the end of the cut; returns whether there was one.
+    fn wait(&self) -> bool {
+        let was_cut = self.is_cut();
+        while self.is_cut() {
+            std::thread::sleep(CUT_POLL_INTERVAL);
+        }
+        was_cut
+    }
+}
+
 #[derive(Default)]
 struct State {
     /// Values with their versions; a removed row keeps its version.
@@ -37,14 +64,14 @@
     }
 
     /// Serves the store at a new address, at which servers are listed with the addresses in `links`.
-    pub fn serve(&self, links: Links) -> SocketAddr {
+    pub fn serve(&self, links: Links, path: Path) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let addr = listener.local_addr().expect("a bound address");
         let store = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, links) = (store.clone(), Arc::clone(&links));
-                std::thread::spawn(move || store.serve_connection(stream, &links));
+                let (store, links, path) = (store.clone(), Arc::clone(&links), path.clone());
+                std::thread::spawn(move || store.serve_connection(stream, &links, &path));
             }
         });
         addr
@@ -65,19 +92,22 @@
         state.rows.get(&(table.to_owned(), key.to_owned()))?.0.clone()
     }
 
-    fn serve_connection(&self, mut stream: TcpStream, links: &Links) {
+    fn serve_connection(&self, mut stream: TcpStream, links: &Links, path: &Path) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Buffer::default();
         while let Some(mut request) = buffer.read_head(&mut stream) {
             buffer.read_body(&mut stream, &mut request, false);
+            if path.wait() {
+                return;
+            }
             let target = request.target().to_owned();
-            let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+            let (call, query) = target.split_once('?').unwrap_or((&target, ""));
             let query: BTreeMap<&str, String> = query
                 .split('&')
                 .filter_map(|pair| pair.split_once('='))
                 .map(|(name, value)| (name, percent_decode(value)))
                 .collect();
-            let (status, body) = match path {
+            let (status, body) = match call {
                 "/api/rows-get" => (200, self.get(&query, links)),
                 "/api/rows-feed" => self.feed(&query, links),
                 "/api/rows-tx" => self.transact(&String::from_utf8_lossy(&request.body)),
@@ -87,7 +117,8 @@
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 0\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if stream.write_all((head + &body).as_bytes()).is_err() {
+            // An answer that is held up by the cut is lost.
+            if path.wait() || stream.write_all((head + &body).as_bytes()).is_err() {
                 return;
             }
         }
--- a/review/standin/tunnel_end.rs
+++ b/review/standin/tunnel_end.rs
@@ -12,7 +12,7 @@
 use crate::link::Link;
 use crate::record::Record;
 use crate::server::{After, Run, Server};
-use crate::store::{Links, Store};
+use crate::store::{Links, Path as StorePath, Store};
 use crate::vm::{SIGTERM, Vm};
 
 /// Each VM has a region of its own, so that it knows the servers only by its own links.
@@ -114,9 +114,21 @@
     let seen = servers.iter().zip(&links);
     let seen = seen.map(|(server, link)| (server.addr.to_string(), link.addr.to_string()));
     let seen: Links = Arc::new(Mutex::new(seen.collect()));
-    let mut a = Vm::new(folder, "vm-a", "z-a", &REGIONS, store.serve(seen));
-    let mut b = Vm::new(folder, "vm-b", "z-b", &REGIONS, store.serve(Links::default()));
-    let mut c = Vm::new(folder, "vm-c", "z-c", &REGIONS, store.serve(Links::default()));
+    let mut a = Vm::new(folder, "vm-a", "z-a", &REGIONS, store.serve(seen, StorePath::default()));
+    let mut b = Vm::new(
+        folder,
+        "vm-b",
+        "z-b",
+        &REGIONS,
+        store.serve(Links::default(), StorePath::default()),
+    );
+    let mut c = Vm::new(
+        folder,
+        "vm-c",
+        "z-c",
+        &REGIONS,
+        store.serve(Links::default(), StorePath::default()),
+    );
     if !(a.start() && b.start() && c.start()) {
         return Verdict::CouldNotRun("the program is not built".into());
     }
--- a/review/standin/vm.rs
+++ b/review/standin/vm.rs
@@ -20,8 +20,6 @@
     pub name: String,
     pub callers: SocketAddr,
     pub health: SocketAddr,
-    pub lookups: SocketAddr,
-    pub peers: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -52,14 +50,19 @@
             name: name.to_owned(),
             callers,
             health,
-            lookups,
-            peers,
             settings,
             log: folder.join(format!("{name}.log")),
             child: None,
         }
     }
 
+    /// `first_start` is true only when the whole system starts for the first time.
+    pub fn set_first_start(&self, first_start: bool) {
+        let text = std::fs::read_to_string(&self.settings).unwrap_or_default();
+        let text = text.replace("first_start: true", &format!("first_start: {first_start}"));
+        std::fs::write(&self.settings, text).expect("the folder can be written");
+    }
+
     pub fn start(&mut self) -> bool {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.expect("the folder can be written");
@@ -96,7 +99,7 @@
         }
     }
 
-    /// Waits until the VM says that it is ready and its look-ups name `vms` VMs in all.
+    /// Waits until the VM says that it is ready.
     pub fn is_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
         while Instant::now() < end {
@@ -112,10 +115,6 @@
         }
         false
     }
-
-    pub fn log_text(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Vm {
