Review case 3: a request that may have run is answered 408

REFUSED breaks: a client pauses for 12 s in a chunked body of a request that must not run twice; the server has begun to work on it, and the client gets 408, which promises that it has not run. The client sends it again and it runs twice. Code: mh_gateway request/forward.rs, code_if_may_have_run (keeps RequestIncomplete, whose status is 408).

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,10 +3,12 @@
 
 mod http;
 mod json;
+mod leaving;
 mod link;
 mod quota_owners;
 mod record;
 mod server;
+mod slow_order;
 mod store;
 mod tunnel_end;
 mod vm;
@@ -33,6 +35,8 @@
     let verdict = match case.as_str() {
         "tunnel-end" => tunnel_end::play(&record, &temporary, has_trouble),
         "quota-owners" => quota_owners::play(&record, &temporary, has_trouble),
+        "slow-order" => slow_order::play(&record, &temporary, has_trouble),
+        "leaving" => leaving::play(&record, &temporary, has_trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin/quota_owners.rs
+++ b/review/standin/quota_owners.rs
@@ -105,7 +105,10 @@
     let arrivals: Arrivals = Arc::default();
     let run: Run = {
         let arrivals = Arc::clone(&arrivals);
-        Arc::new(move |_, request, stream| run(request, stream, &arrivals))
+        Arc::new(move |_, request, stream, buffer| {
+            buffer.read_body(stream, request, false);
+            run(request, stream, &arrivals)
+        })
     };
     let servers = ["s-1", "s-2", "s-3", "s-4"].iter().zip(["z-a", "z-b", "z-a", "z-b"]);
     for (name, zone) in servers {
--- a/review/standin/tunnel_end.rs
+++ b/review/standin/tunnel_end.rs
@@ -99,7 +99,10 @@
     let log = Arc::new(Record::new(&folder.join("servers.txt")));
     let run: Run = {
         let (runs, log) = (Arc::clone(&runs), Arc::clone(&log));
-        Arc::new(move |id, request, stream| run(id, request, stream, &runs, &log))
+        Arc::new(move |id, request, stream, buffer| {
+            buffer.read_body(stream, request, false);
+            run(id, request, stream, &runs, &log)
+        })
     };
     let servers: Vec<Server> = ["s-1", "s-2", "s-3", "s-4"]
         .iter()
