--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! held, 2 if the case could not run.
 
 mod blank_lines;
+mod chunked_search;
 mod http;
 mod json;
 mod leaving;
@@ -39,6 +40,7 @@
         "slow-order" => slow_order::play(&record, &temporary, has_trouble),
         "leaving" => leaving::play(&record, &temporary, has_trouble),
         "blank-lines" => blank_lines::play(&record, &temporary, has_trouble),
+        "chunked-search" => chunked_search::play(&record, &temporary, has_trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -88,9 +88,15 @@
 }
 
 fn serve(id: &str, mut stream: TcpStream, run: &Run) {
+    serve_requests(id, &mut stream, run);
+    // Another handle of the connection is kept for the end of the server. Fails if the other side has closed it already.
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn serve_requests(id: &str, stream: &mut TcpStream, run: &Run) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Buffer::default();
-    while let Some(mut request) = buffer.read_head(&mut stream) {
+    while let Some(mut request) = buffer.read_head(stream) {
         if request.target() == "/health" {
             let answer = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
             if stream.write_all(answer.as_bytes()).is_err() {
@@ -102,7 +108,7 @@
             .header("x-expect-instance")
             .is_some_and(|expected| expected != id)
         {
-            buffer.read_body(&mut stream, &mut request, false);
+            buffer.read_body(stream, &mut request, false);
             let answer =
                 format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
             if stream.write_all(answer.as_bytes()).is_err() {
@@ -110,7 +116,7 @@
             }
             continue;
         }
-        match run(id, &mut request, &mut stream, &mut buffer) {
+        match run(id, &mut request, stream, &mut buffer) {
             After::Keep => {}
             After::Close => return,
         }
