--- a/review/6/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if UNASKED was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 sends the bodies with a length.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/standin ] && [ -x target/release/mangohook ] || exit 2
-exec target/review/standin chunked-search review/6
