--- a/review/standin/blank_lines.rs
+++ b/review/standin/blank_lines.rs
@@ -1,4 +1,4 @@
-//! Answers whose bodies are texts with blank lines.
+//! Answers whose bodies are texts with blank lines, and answers without a body.
 
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -17,15 +17,16 @@
 const HOST: &str = "shop.example";
 const KEY: &str = "k-1";
 
-/// Kinds of request: path, method, and whether their answers are texts with blank lines.
-const KINDS: [(&str, &str, bool); 3] = [
-    ("stock", "GET", false),
-    ("catalog", "GET", true),
-    ("orders", "POST", true),
+/// Kinds of request: path, method, and requests in each round.
+const KINDS: [(&str, &str, usize); 4] = [
+    ("stock", "GET", 1),
+    ("catalog", "GET", 1),
+    ("orders", "POST", 1),
+    ("deposits", "PUT", 4),
 ];
 
-/// Requests of each kind.
-const REQUESTS: usize = 20;
+/// Rounds of requests.
+const ROUNDS: usize = 20;
 
 /// Paragraphs of a text.
 const PARAGRAPHS: usize = 12;
@@ -35,9 +36,12 @@
 "timeout":"1000ms","latency_target":"400ms","priority":2,"max_attempts":2,"public":false,"sticky":false,"home_regions":[]},
 {"name":"catalog-pull","host":"shop.example","prefix":"/catalog/","kind":"idempotent","service":"catalog",
 "timeout":"4000ms","latency_target":"1500ms","priority":2,"max_attempts":2,"public":false,"sticky":false,"home_regions":[]},
+{"name":"deposit-pay","host":"shop.example","prefix":"/deposits/","kind":"non_idempotent","service":"deposits",
+"timeout":"800ms","latency_target":"300ms","priority":0,"max_attempts":2,"public":false,"sticky":false,"home_regions":[]},
 {"name":"order-place","host":"shop.example","prefix":"/orders/","kind":"non_idempotent","service":"orders",
 "timeout":"1200ms","latency_target":"600ms","priority":1,"max_attempts":2,"public":false,"sticky":false,"home_regions":[]}],
-"services":[{"name":"stock","health_path":"/health","max_conns":360,"cold_start":"3s","cold_per_s":4.4},
+"services":[{"name":"deposits","health_path":"/health","max_conns":360,"cold_start":"3s","cold_per_s":4.4},
+{"name":"stock","health_path":"/health","max_conns":360,"cold_start":"3s","cold_per_s":4.4},
 {"name":"catalog","health_path":"/health","max_conns":360,"cold_start":"3s","cold_per_s":4.4},
 {"name":"orders","health_path":"/health","max_conns":360,"cold_start":"3s","cold_per_s":4.4}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},
@@ -57,10 +61,12 @@
     let store = Store::new();
     store.put("op", "config", Some(CONFIG));
     let runs: Runs = Arc::default();
-    // Without the trouble the same texts have other line ends.
+    // Without the trouble the same texts have other line ends, and no answer is without a body.
     let line_end = if has_trouble { "\r\n" } else { "\n" };
     let body_of = move |target: &str, id: &str| match target {
         "/stock/item" => format!("{id}: 17 in stock"),
+        "/deposits/item" if has_trouble => String::new(),
+        "/deposits/item" => format!("{id}: paid"),
         _ => text(id, line_end),
     };
     let run: Run = {
@@ -106,37 +112,44 @@
         return Verdict::CouldNotRun("the VMs are not ready".into());
     }
     std::thread::sleep(Duration::from_secs(8));
-    let mut served: BTreeMap<&str, usize> = BTreeMap::new();
-    for n in 0..REQUESTS {
-        for (kind, method, _) in KINDS {
-            let (vm, id) = (&vms[n % vms.len()], format!("{kind}-{n}"));
-            let head = format!(
-                "{method} /{kind}/item HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\nX-Api-Key: {KEY}\r\n\
-                 Content-Length: 0\r\nConnection: close\r\n\r\n"
-            );
-            let answer = http::call(vm.callers, &head, b"", Duration::from_secs(5));
-            let status = answer.as_ref().map_or(0, http::Message::status);
-            let expected = body_of(&format!("/{kind}/item"), &id);
-            let is_whole = answer.as_ref().is_some_and(|answer| answer.body == expected.as_bytes());
-            let is_served = status == 200 && is_whole;
-            *served.entry(kind).or_default() += usize::from(is_served);
-            let ran = runs.lock().expect("no thread panics").get(&id).copied().unwrap_or(0);
-            record.line(&format!(
-                "{id} through {}: run by {ran} servers, status {status}, served: {is_served}",
-                vm.name
-            ));
-            std::thread::sleep(Duration::from_millis(100));
+    // Requests of each kind: sent, served, and run without the server's answer.
+    let mut counts: BTreeMap<&str, [usize; 3]> = BTreeMap::new();
+    for round in 0..ROUNDS {
+        for (kind, method, requests) in KINDS {
+            for n in 0..requests {
+                let (vm, id) = (&vms[round % vms.len()], format!("{kind}-{round}-{n}"));
+                let head = format!(
+                    "{method} /{kind}/item HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\n\
+                     X-Api-Key: {KEY}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                );
+                let answer = http::call(vm.callers, &head, b"", Duration::from_secs(5));
+                let status = answer.as_ref().map_or(0, http::Message::status);
+                let expected = body_of(&format!("/{kind}/item"), &id);
+                let is_whole = answer.as_ref().is_some_and(|answer| answer.body == expected.as_bytes());
+                let is_served = status == 200 && is_whole;
+                let ran = runs.lock().expect("no thread panics").get(&id).copied().unwrap_or(0);
+                let [sent, served, lost] = counts.entry(kind).or_default();
+                *sent += 1;
+                *served += usize::from(is_served);
+                *lost += usize::from(!is_served && ran > 0);
+                record.line(&format!(
+                    "{id} through {}: run by {ran} servers, status {status}, served: {is_served}",
+                    vm.name
+                ));
+                std::thread::sleep(Duration::from_millis(50));
+            }
         }
     }
-    let all: usize = served.values().sum();
-    let share_of_all = all as f64 / (REQUESTS * KINDS.len()) as f64;
+    let sent: usize = counts.values().map(|[sent, ..]| sent).sum();
+    let all: usize = counts.values().map(|[_, served, _]| served).sum();
+    let share_of_all = all as f64 / sent as f64;
     let mut starved = 0;
-    for (kind, count) in &served {
-        let share = *count as f64 / REQUESTS as f64;
+    for (kind, [sent, served, lost]) in &counts {
+        let share = *served as f64 / *sent as f64;
         let is_starved = share < share_of_all / 4.0;
         starved += usize::from(is_starved);
         record.line(&format!(
-            "{kind}: {count} of {REQUESTS} served ({share:.2}; all requests {share_of_all:.2}){}",
+            "{kind}: {served} of {sent} served ({share:.2}; all requests {share_of_all:.2}), {lost} run without an answer{}",
             if is_starved { ": starved" } else { "" }
         ));
     }
