--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -33,7 +33,8 @@
     let record = record::Record::new(&folder.join("record.txt"));
     let temporary = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
-    let verdict = match case.as_str() {
+    // The processes that a case started end with it, also if it panics.
+    let play = || match case.as_str() {
         "tunnel-end" => tunnel_end::play(&record, &temporary, has_trouble),
         "quota-owners" => quota_owners::play(&record, &temporary, has_trouble),
         "slow-order" => slow_order::play(&record, &temporary, has_trouble),
@@ -41,6 +42,8 @@
         "chunked-search" => chunked_search::play(&record, &temporary, has_trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
+    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(play));
+    let verdict = verdict.unwrap_or_else(|_| Verdict::CouldNotRun("the case panicked".into()));
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&temporary);
     }
