Mark the end of the server's bytes in tunnels between VMs

Cause: an answer without a length ends with its connection, and the end of the tunnel stood for it. The operating system closes the sockets of a process that exits or is killed as if it had ended them itself. A planned stop also waited for the VM's own requests only.

Bytes from the server now travel in frames, and an empty frame marks their end; any other end is an error. A VM of an earlier version is told nothing that it would take for an end: its connection is reset, also by the operating system, unless the server has ended its own. Through such a VM every end is an error. A planned stop waits for tunnels until the end of its grace period, and other VMs close their idle tunnels through a VM that leaves.

--- a/crates/mh_edge/src/connection_pool.rs
+++ b/crates/mh_edge/src/connection_pool.rs
@@ -162,6 +162,17 @@
         self.open(dial, connect_timeout).await
     }
 
+    /// Closes the idle connections that `dial` does not reuse.
+    pub fn close_unusable(&self, dial: &dyn Dial) {
+        for _ in 0..self.idle.len() {
+            let Some(idle) = self.idle.pop() else { return };
+            if dial.may_reuse(&idle.path) {
+                // A full queue rejects the connection, which closes it.
+                let _ = self.idle.push(idle);
+            }
+        }
+    }
+
     /// Opens a new connection with `dial`.
     ///
     /// # Errors
--- a/crates/mh_gateway/src/node/shutdown.rs
+++ b/crates/mh_gateway/src/node/shutdown.rs
@@ -26,16 +26,16 @@
 /// Outcome of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopOutcome {
-    /// Every request was answered.
+    /// Every request was answered, and every tunnel of another VM was closed.
     Clean,
-    /// Requests were still running.
+    /// Requests were still running, or tunnels of other VMs were open.
     Forced,
     /// Signal handlers could not be installed.
     NoSignals,
 }
 
 /// Serves until SIGTERM and then shuts down: callers are redirected to other VMs, requests are served for a fraction
-/// of the grace period, and the process exits when the last one is answered. `reload` is called on SIGHUP and when the
+/// of the grace period, and the process exits when the last one is answered and no tunnel of another VM is open. `reload` is called on SIGHUP and when the
 /// settings file changes.
 pub async fn run_until_signal(
     node: Arc<GatewayNode>,
@@ -87,17 +87,19 @@
     tokio::time::sleep_until(started + grace.mul_f64(SERVING_FRACTION)).await;
     node.gateway.close();
     let running = || node.gateway.counters().running.load(Ordering::Relaxed);
-    while running() > 0 && Instant::now() < end {
+    let tunnels = || node.open_tunnels.load(Ordering::Relaxed);
+    // A tunnel may carry an answer that its server has not finished. Other VMs close those that carry none.
+    while (running() > 0 || tunnels() > 0) && Instant::now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     let is_clean = caller_port
         .shutdown(end.saturating_duration_since(Instant::now()))
         .await;
-    if is_clean && running() == 0 {
+    if is_clean && running() == 0 && tunnels() == 0 {
         emit!(Event::Stopped, after_ms = started.elapsed().as_millis());
         StopOutcome::Clean
     } else {
-        emit!(Event::StoppedHard, running = running());
+        emit!(Event::StoppedHard, running = running(), tunnels = tunnels());
         StopOutcome::Forced
     }
 }
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -15,6 +15,7 @@
 mod streamed_answer;
 mod timings;
 mod tunnel_client;
+mod tunnel_stream;
 
 pub use counters::Counters;
 pub(crate) use counters::{count_lookup, increment};
@@ -23,3 +24,4 @@
 pub use server_paths::ServerPaths;
 pub(crate) use timings::Timings;
 pub(crate) use tunnel_client::SERVER_HEADER;
+pub(crate) use tunnel_stream::{FRAMED, FRAMING_HEADER, MAX_FRAME_BYTES, frame_codec};
--- a/crates/mh_gateway/src/request/server_paths.rs
+++ b/crates/mh_gateway/src/request/server_paths.rs
@@ -61,11 +61,20 @@
         }
     }
 
-    /// Sets the region of this VM and the other VMs that may open tunnels for it.
-    pub(crate) fn set_tunnel_vms(&self, own_region: &RegionName, vms: Vec<TunnelVm>) {
-        let mut held = lock(&self.tunnel_vms);
-        held.0 = own_region.clone();
-        held.1.set_vms(vms);
+    /// Sets the region of this VM and the other VMs that may open tunnels for it. Closes idle tunnels through a VM that
+    /// is gone: one that shuts down waits for its tunnels.
+    pub(crate) fn set_tunnel_vms(self: &Arc<Self>, own_region: &RegionName, vms: Vec<TunnelVm>) {
+        let is_one_gone = {
+            let mut held = lock(&self.tunnel_vms);
+            held.0 = own_region.clone();
+            held.1.set_vms(vms)
+        };
+        if is_one_gone {
+            let live = self.live.load();
+            live.backends
+                .values()
+                .for_each(|backends| backends.close_unusable(&self.dialer(&[])));
+        }
     }
 
     /// Returns whether this VM cannot reach any backend server itself.
--- a/crates/mh_gateway/src/service_backends.rs
+++ b/crates/mh_gateway/src/service_backends.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mh_edge::ConnectionPool;
+use mh_edge::{ConnectionPool, Dial};
 use mh_route::RetryBudget;
 use mh_route::objects::{ListedServer, ObjectPool, RegionDistribution};
 use mh_types::ServerName;
@@ -74,6 +74,13 @@
     pub fn connections(&self, server: &ServerName) -> Option<&Arc<ConnectionPool>> {
         self.connections.get(server)
     }
+
+    /// Closes the idle connections that `dial` does not reuse.
+    pub fn close_unusable(&self, dial: &dyn Dial) {
+        self.connections
+            .values()
+            .for_each(|connections| connections.close_unusable(dial));
+    }
 }
 
 /// This VM's part of the fleet-wide retry budget of one service.
--- a/crates/mh_gateway/tests/cut_off.rs
+++ b/crates/mh_gateway/tests/cut_off.rs
@@ -17,7 +17,7 @@
 use mh_gateway::{CallerLimits, Feed, Plan, RegisteredServer, RequestKind, Update};
 use mh_types::Revision;
 use store::MemoryStore;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Index of the VM that is cut off.
@@ -26,6 +26,9 @@
 /// Answer without a length, which is reset before its end.
 const RESET_WITHOUT_LENGTH: Reply = Reply::Reset("HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\n\r\nhalf");
 
+/// Complete answer without a length.
+const WITHOUT_LENGTH: Reply = Reply::Close("HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\n\r\nwhole");
+
 /// How a link is cut.
 #[derive(Clone, Copy, Debug)]
 enum Cut {
@@ -180,6 +183,47 @@
     assert_eq!(cut_fleet.server.seen().len(), 2);
 }
 
+/// Guards against refusing complete answers because the end of a tunnel is taken for a loss.
+#[tokio::test(start_paused = true)]
+async fn an_answer_without_a_length_is_complete_through_a_tunnel() {
+    let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[OK, WITHOUT_LENGTH]).await;
+    send_to(cut_fleet.addr(), "POST", "/pay/first", "").await;
+
+    let answer = send_to(cut_fleet.addr(), "POST", "/pay/x", "").await;
+
+    assert_eq!((answer.status, answer.body.as_str()), (200, "whole"), "{answer:?}");
+}
+
+/// Opens a tunnel as a VM of a version that knows no frames does, sends a request through it and reads to its end.
+async fn read_unframed_tunnel(reply: Reply) -> (String, std::io::Result<usize>) {
+    let cut_fleet = CutFleet::start(Cut::Refuse, &[CUT_OFF], &[reply]).await;
+    let mut stream = TcpStream::connect(cut_fleet.fleet.listen[1].peers)
+        .await
+        .expect("the VM listens");
+    let addr = cut_fleet.server.addr;
+    let connect = format!("CONNECT {addr} HTTP/1.1\r\nhost: {addr}\r\nmangohook-server: s1\r\n\r\n");
+    stream.write_all(connect.as_bytes()).await.expect("the VM reads");
+    let mut opened = [0; 15];
+    stream.read_exact(&mut opened).await.expect("an answer");
+    assert_eq!(&opened, b"HTTP/1.1 200 OK");
+    let request = format!("{}content-length: 0\r\n\r\n", head("GET", "/safe/x"));
+    stream.write_all(request.as_bytes()).await.expect("the VM reads");
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer).await;
+    (String::from_utf8_lossy(&answer).into_owned(), ended)
+}
+
+/// Guards against an answer that looks complete to a VM of an earlier version, which takes the end of a tunnel for that
+/// of the answer.
+#[tokio::test(start_paused = true)]
+async fn a_tunnel_without_frames_is_reset_unless_the_server_ends_it() {
+    let (whole, ended) = read_unframed_tunnel(WITHOUT_LENGTH).await;
+    let (half, reset) = read_unframed_tunnel(RESET_WITHOUT_LENGTH).await;
+
+    assert!(ended.is_ok() && whole.ends_with("whole"), "{ended:?}: {whole}");
+    assert!(reset.is_err(), "{half}");
+}
+
 /// Guards against a server that works for a caller which has left, behind the tunnel.
 #[tokio::test(start_paused = true)]
 async fn a_caller_that_leaves_ends_the_tunnel() {
--- a/crates/mh_path/src/tunnel_vms.rs
+++ b/crates/mh_path/src/tunnel_vms.rs
@@ -23,10 +23,11 @@
 }
 
 impl TunnelVms {
-    /// Replaces the list of VMs that are alive.
-    pub fn set_vms(&mut self, vms: Vec<TunnelVm>) {
+    /// Replaces the list of VMs that are alive; returns whether one is missing that was in it.
+    pub fn set_vms(&mut self, vms: Vec<TunnelVm>) -> bool {
         self.resting.retain(|vm, _| vms.iter().any(|listed| listed.vm == *vm));
-        self.vms = vms;
+        let before = std::mem::replace(&mut self.vms, vms);
+        before.iter().any(|vm| !self.contains(&vm.vm))
     }
 
     /// Returns whether `vm` is alive.
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -40,7 +40,7 @@
     Listening = 101, Info, "A port is listening.";
     Stopping = 102, Info, "Shutdown began.";
     Stopped = 103, Info, "Shutdown ended and every request was answered.";
-    StoppedHard = 104, Warn, "Shutdown ended with requests still running.";
+    StoppedHard = 104, Warn, "Shutdown ended with requests still running, or tunnels of other VMs open.";
     LoopFailed = 105, Error, "A control loop failed unexpectedly; it is started again.";
     ConnectionFailed = 200, Debug, "A caller's connection ended with an error.";
     RequestRefused = 201, Debug, "A request was refused.";
--- a/tests/soak/vm.rs
+++ b/tests/soak/vm.rs
@@ -26,6 +26,10 @@
     pub process: Option<Process>,
     /// Number of starts so far; a VM guarantees the order of configurations only within one start.
     pub starts: u64,
+    /// Program of the VM; another build of it than this one's to run both side by side.
+    pub program: PathBuf,
+    /// Largest number of open files of the process, if not that of the test.
+    pub max_files: Option<u32>,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -50,6 +54,8 @@
             cut: None,
             process: None,
             starts: 0,
+            program: env!("CARGO_BIN_EXE_mangohook").into(),
+            max_files: None,
             settings: path,
             log: folder.join(format!("{name}.log")),
         }
@@ -80,8 +86,13 @@
     pub fn start(&mut self) {
         let log = OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.expect("the folder can be written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mangohook"));
+        let mut command = Command::new("sh");
+        let limit = self
+            .max_files
+            .map_or(String::new(), |count| format!("ulimit -n {count}; "));
         command
+            .args(["-c", &format!("{limit}exec \"$@\""), "sh"])
+            .arg(&self.program)
             .args(["gateway", "--settings"])
             .arg(&self.settings)
             .stdin(Stdio::null())
