Use slots of a quota only when all listed VMs derive owners from one list

Cause: owners follow from each VM's own copy of the list of VMs, and a VM used what its copy gave it, at once in the first 4 s after its start and otherwise after 2.1 s, whatever the copies of the others said.

A VM that gains slots now asks all listed VMs for a digest of their lists and uses the slots when each has confirmed the same one and what it did by an earlier list, or borrowed, has ended (mh_budget::Handover). Slots that it already uses are not affected. VMs that are up and missing in a VM's copy count as listed there, so a VM that is cut off from the store gives up the slots of one that returns. A VM of an earlier version is asked for one request of the quota, which it answers only to VMs in its list.

--- a/crates/mh_budget/src/budget_holder/mod.rs
+++ b/crates/mh_budget/src/budget_holder/mod.rs
@@ -157,6 +157,13 @@
         self.lenders.iter().map(|lender| lender.share).sum()
     }
 
+    /// Whether a loan of `vm` is in use.
+    pub fn borrows_from(&self, vm: &VmName) -> bool {
+        self.lenders
+            .iter()
+            .any(|lender| lender.vm == *vm && !lender.share.is_empty())
+    }
+
     /// Share that this VM's meter uses.
     pub fn usable_share(&self) -> Share {
         self.own_share() + self.borrowed_share()
--- a/crates/mh_budget/src/budget_holder/ownership.rs
+++ b/crates/mh_budget/src/budget_holder/ownership.rs
@@ -20,6 +20,8 @@
         if !is_fresh || self.slot_access == SlotAccess::Unlisted {
             return false;
         }
+        // Slots that were to be handed over stay.
+        self.releasing.retain(|slot| !slots.contains(slot));
         if adoption == Adoption::TakenOver {
             self.takeover_waits
                 .push((slots.clone(), now + self.settings.takeover_wait()));
--- a/crates/mh_budget/src/lib.rs
+++ b/crates/mh_budget/src/lib.rs
@@ -10,6 +10,9 @@
 //! refuse it, or ask another VM to decide. A VM asks another one when the budget is too small to divide, or when its
 //! own tokens are used up and another VM may have some.
 //!
+//! Who owns a slot is recorded by the caller, or follows from a list of VMs; VMs with different lists then agree by a
+//! [`Handover`] before a slot gets another owner.
+//!
 //! The crate does no I/O and reads no clock: the caller passes `now`, sends the messages that a holder returns, and
 //! reads and writes the table rows that record which VM owns a slot.
 //!
@@ -45,6 +48,8 @@
 mod division;
 mod fair_shares;
 mod fallback;
+mod handover;
+mod handover_msg;
 mod limiter;
 mod meter;
 mod msg;
@@ -63,6 +68,8 @@
 pub use decision::Decision;
 pub use division::{Division, MAX_SLOTS_PER_DOMAIN, MIN_SLOT_BURST_TOKENS};
 pub use fair_shares::{Claim, fair_shares};
+pub use handover::Handover;
+pub use handover_msg::HandoverMsg;
 pub use limiter::{Limiter, MAX_PEER_ASKS};
 pub use meter::{Allowance, Meter, MeterWriter, TokenMove, TokenMoveResult};
 pub use msg::{Ask, Body, Loan, Msg, Outgoing, Return};
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -99,6 +99,8 @@
         /// The decision.
         reply: mh_limit::Reply,
     },
+    /// The list of VMs from which the sender derives the owners of quotas. Unknown to earlier versions.
+    Handover(mh_budget::HandoverMsg),
 }
 
 #[cfg(test)]
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -1,7 +1,8 @@
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use mh_member::{MemberState, VmList, VmListEntry};
+use mh_member::{Member, MemberState, View, VmList, VmListEntry};
 use mh_path::TunnelVm;
 use mh_types::{Event, RegionName, VmName, emit};
 use std::net::SocketAddr;
@@ -11,9 +12,9 @@
 use super::limit_messages::admitting_vms;
 use super::shift_writer::run_shifts;
 use super::stale_vms::update_vm_list;
-use super::{Datagram, QuotaController};
+use super::{Datagram, DeploymentState, QuotaController};
 use crate::SuspendDetector;
-use crate::node::{GatewayNode, lock};
+use crate::node::{GatewayNode, UnlistedVm, lock};
 use crate::{AnnouncedVm, Feed};
 
 /// Time between two ticks of the membership protocol.
@@ -36,9 +37,9 @@
     loop {
         tokio::select! {
             received = node.receive(&mut buf) => {
-                let Ok(len) = received else { continue };
+                let Ok((len, addr)) = received else { continue };
                 match decode::<Datagram>(&buf[..len]) {
-                    Ok((from, datagram)) => handle_datagram(&node, &from, datagram),
+                    Ok((from, datagram)) => handle_datagram(&node, &from, addr, datagram),
                     Err(e) => emit!(Event::PeerMessageInvalid, bytes = len, error = e),
                 }
             }
@@ -62,8 +63,8 @@
     }
 }
 
-/// Handles a datagram of another VM.
-fn handle_datagram(node: &Arc<GatewayNode>, from: &VmName, datagram: Datagram) {
+/// Handles a datagram of another VM, which it sent from `addr`.
+fn handle_datagram(node: &Arc<GatewayNode>, from: &VmName, addr: SocketAddr, datagram: Datagram) {
     let now = Instant::now();
     match datagram {
         Datagram::Member(msg) => {
@@ -91,6 +92,13 @@
         Datagram::Limits(msg) => node.on_limit_msg(from, msg),
         Datagram::LimitAsk { number, ask } => node.on_limit_ask(from, number, &ask, now),
         Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
+        Datagram::Handover(msg) => {
+            let answer = lock(&node.quotas).on_handover(from, &msg, now);
+            if let Some(answer) = answer {
+                // The sender may be missing in this VM's list.
+                node.send_to(addr, &Datagram::Handover(answer));
+            }
+        }
     }
 }
 
@@ -105,6 +113,7 @@
     node.send_membership(out);
     let out = lock(&node.quotas).on_tick(now);
     node.send_lending(out);
+    ask_for_lists(node, now);
     node.tick_limits(now);
     let cleans_up = alive.iter().min() == Some(node.gateway.vm()) && node.is_clean_up_due(now);
     let out = node.gateway.poison().with(|guard, _| {
@@ -117,6 +126,53 @@
     }
 }
 
+/// Asks other VMs for their lists of VMs, as far as this VM waits for slots of quotas.
+fn ask_for_lists(node: &Arc<GatewayNode>, now: Instant) {
+    if !lock(&node.quotas).waits_for_handover() {
+        return;
+    }
+    let dead = {
+        let membership = lock(&node.membership);
+        let view = membership.view();
+        let dead = view
+            .members()
+            .filter(|member| view.state_of(member) == MemberState::Dead);
+        dead.map(|member| member.record.vm.clone()).collect::<HashSet<_>>()
+    };
+    let (questions, probes) = lock(&node.quotas).handover_questions(now, |vm| dead.contains(vm));
+    for (vm, msg) in questions {
+        if let Some(addr) = node.peer_addr(&vm) {
+            node.send_to(addr, &Datagram::Handover(msg));
+        }
+    }
+    for (vm, org) in probes {
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            // A VM answers only those in its list.
+            if node.ask_quota(&vm, &org).await.is_some() {
+                lock(&node.quotas).on_listed_by(&vm, Instant::now());
+            }
+        });
+    }
+}
+
+/// Returns the VMs that are up and missing in this VM's list, because they have just started or because this VM cannot
+/// read the list now.
+fn unlisted_vms(deployment: &DeploymentState, view: &View) -> Vec<UnlistedVm> {
+    let is_up = |member: &&Member| matches!(view.state_of(member), MemberState::Alive | MemberState::Suspect);
+    let is_listed = |vm: &VmName| vm == view.local_vm() || deployment.vm(vm).is_some();
+    let heard = view.members().filter(|member| member.heard_at.is_some());
+    let unlisted = heard.filter(is_up).map(|member| &member.record);
+    let unlisted = unlisted.filter(|record| !is_listed(&record.vm)).filter_map(|record| {
+        Some(UnlistedVm {
+            vm: record.vm.clone(),
+            domain: record.domain.clone(),
+            addr: record.addr?,
+        })
+    });
+    unlisted.collect()
+}
+
 /// Passes the VM list to the membership protocol and applies its view; returns the live VMs and the number of VMs that
 /// share limits.
 fn update_membership(node: &Arc<GatewayNode>, now: Instant) -> (Vec<VmName>, u32) {
@@ -183,8 +239,10 @@
     }
     let lost = deployment.lost_vms(deployment.entry_return(), now);
     let revived = deployment.revived_vms();
+    let unlisted = unlisted_vms(&deployment, view);
     drop(membership);
     drop(deployment);
+    node.set_unlisted_vms(unlisted);
     let mut stale = lock(&node.stale_vms);
     let mut due = stale.due(node.gateway.vm(), &alive, dead, now);
     // Only the VMs that read the store see these.
--- a/crates/mh_gateway/src/control/quota_controller.rs
+++ b/crates/mh_gateway/src/control/quota_controller.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use mh_budget::{
-    Adoption, Answer, Budget, BudgetHolder, LendingSettings, Limiter, Msg, Outgoing, Owner, Owners, Slots, VmIdentity,
+    Adoption, Answer, Budget, BudgetHolder, Handover, HandoverMsg, LendingSettings, Limiter, Msg, Outgoing, Owner,
+    Owners, Slots, VmIdentity,
 };
 use mh_types::{OrgName, Revision, VmName};
 use siphasher::sip::SipHasher13;
 use tokio::time::Instant;
 
-use crate::{AnnouncedVm, Plan, PlanOrg};
+use crate::{Plan, PlanOrg};
 
 /// Burst of one slot, in requests, that the division into slots aims for. A smaller slot mostly holds a fraction of a
 /// request, which admits nothing.
@@ -19,11 +20,6 @@
 /// Most groups of slots. With 64 slots in each, every VM of a large fleet owns or borrows some.
 const MAX_SLOT_GROUPS: f64 = 8.0;
 
-/// Time after the start during which a VM uses its slots at once, without the burst. Its previous process may have lent
-/// some of them for one lease; they can be used twice during that time, which the quota tolerance covers. Waiting
-/// instead would refuse every request for a lease after a restart of all VMs.
-const STARTUP_PERIOD: Duration = Duration::from_secs(4);
-
 /// Time between two ticks of an idle quota, shorter than the pause after which shares must be confirmed. Most quotas of
 /// a large deployment are idle on most VMs.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_secs(1);
@@ -39,15 +35,20 @@
     retry_timeout: Duration::from_millis(400),
 };
 
+/// Messages to VMs about the list of VMs, and VMs to ask for a request of an organisation's quota.
+type HandoverQuestions = (Vec<(VmName, HandoverMsg)>, Vec<(VmName, OrgName)>);
+
 /// This VM's shares of the organisations' quotas.
 ///
-/// Slot ownership follows from the VM list in the store, so that all VMs compute the same owners without a write.
-/// Unused shares are lent to the VMs that need them.
+/// Slot ownership follows from the VM list in the store, so that all VMs compute the same owners without a write. As
+/// their copies of the list may differ, a slot that this VM gains waits for the [`Handover`]. Unused shares are lent to
+/// the VMs that need them.
 #[derive(Debug)]
 pub(crate) struct QuotaController {
     local: Arc<VmIdentity>,
     lending: Arc<LendingSettings>,
-    started: Instant,
+    handover: Handover,
+    last_tick_at: Instant,
     shares: HashMap<OrgName, QuotaShare>,
     /// Inputs of the last synchronisation.
     last_sync: Option<SyncInputs>,
@@ -57,7 +58,7 @@
 #[derive(Debug, PartialEq)]
 struct SyncInputs {
     revision: Revision,
-    vms: Vec<AnnouncedVm>,
+    vms: Vec<Owner>,
     /// When the list was read in full.
     read_at: Instant,
 }
@@ -69,6 +70,8 @@
     org: PlanOrg,
     groups: u16,
     adopted: Slots,
+    /// Slots that the VM list assigns to this VM and that wait for the handover.
+    pending: Slots,
     /// Time of the holder's last tick.
     last_tick_at: Instant,
     /// Whether the quota replaces one with another division into slots. All VMs then start over within the time in
@@ -82,7 +85,8 @@
         Self {
             local: Arc::new(local),
             lending: Arc::new(LENDING_SETTINGS),
-            started: now,
+            handover: Handover::new(&LENDING_SETTINGS),
+            last_tick_at: now,
             shares: HashMap::new(),
             last_sync: None,
         }
@@ -96,7 +100,7 @@
     /// Derives shares from the plan and the VM list, whose read began at `read_at`.
     ///
     /// The owners depend on every organisation, slot and VM, so they are computed again only when an input changed.
-    pub(crate) fn sync(&mut self, plan: &Plan, vms: &[AnnouncedVm], read_at: Instant, now: Instant) {
+    pub(crate) fn sync(&mut self, plan: &Plan, vms: &[Owner], read_at: Instant, now: Instant) {
         let inputs = SyncInputs {
             revision: plan.revision,
             vms: vms.to_vec(),
@@ -106,6 +110,10 @@
             return;
         }
         self.last_sync = Some(inputs);
+        let was_settled = self.handover.is_settled(now);
+        let names = vms.iter().map(|vm| &vm.vm);
+        self.handover.set_list(now, &self.local.vm, names);
+        let is_settled = was_settled && self.handover.is_settled(now);
         let is_limited = |org: &PlanOrg| org.rate_per_s > 0.0;
         self.shares
             .retain(|name, _| plan.orgs.get(name).is_some_and(|org| is_limited(org)));
@@ -113,8 +121,9 @@
         for org in plan.orgs.values().filter(|org| is_limited(org)) {
             let groups = slot_groups(org.burst);
             self.sync_org(org, groups, now);
-            self.assign(&org.name, &vms, read_at, now);
+            self.assign(&org.name, &vms, read_at, is_settled, now);
         }
+        self.adopt_settled(now);
     }
 
     fn sync_org(&mut self, org: &PlanOrg, groups: u16, now: Instant) {
@@ -138,6 +147,7 @@
                     org: org.clone(),
                     groups,
                     adopted: Slots::default(),
+                    pending: Slots::default(),
                     last_tick_at: now,
                     is_redivided,
                 };
@@ -146,9 +156,9 @@
         }
     }
 
-    /// Adopts and releases slots, so that this VM holds those that the VM list assigns to it.
-    fn assign(&mut self, org: &OrgName, vms: &[HashedVm<'_>], read_at: Instant, now: Instant) {
-        let is_starting = now < self.started + STARTUP_PERIOD;
+    /// Adopts and releases slots, so that this VM holds those that the VM list assigns to it. Gained slots wait unless
+    /// the handover was settled before and still is.
+    fn assign(&mut self, org: &OrgName, vms: &[HashedVm<'_>], read_at: Instant, is_settled: bool, now: Instant) {
         let Some(share) = self.shares.get_mut(org) else { return };
         let owners = owners(org, share.holder.division().slots(), vms);
         let own_slots: Slots = owners
@@ -162,22 +172,25 @@
         if !lost.is_empty() {
             share.holder.release_slots(now, &lost);
         }
-        if !gained.is_empty() {
-            let adoption = if is_starting || std::mem::take(&mut share.is_redivided) {
+        if is_settled {
+            let adoption = if std::mem::take(&mut share.is_redivided) {
                 Adoption::HandedOver
             } else {
                 Adoption::TakenOver
             };
-            share.holder.adopt_slots(now, now, &gained, adoption);
+            if !gained.is_empty() {
+                share.holder.adopt_slots(now, now, &gained, adoption);
+            }
+            share.adopted = own_slots;
+            share.pending = Slots::default();
+        } else {
+            share.adopted = own_slots.iter().filter(|slot| share.adopted.contains(*slot)).collect();
+            share.pending = gained;
         }
-        share.adopted = own_slots;
         let mut lenders: Vec<Owner> = Vec::new();
         for (_, owner) in owners {
             if lenders.iter().all(|known| known.vm != owner.vm) {
-                lenders.push(Owner {
-                    vm: owner.vm.clone(),
-                    domain: owner.domain.clone(),
-                });
+                lenders.push(owner.clone());
             }
         }
         share
@@ -196,6 +209,11 @@
     /// Ticks the holders and returns the messages to send.
     pub(crate) fn on_tick(&mut self, now: Instant) -> Vec<Outgoing> {
         let mut out = Vec::new();
+        if now.saturating_duration_since(self.last_tick_at) >= self.lending.pause_limit {
+            self.handover.restart(now);
+        }
+        self.last_tick_at = now;
+        self.adopt_settled(now);
         for share in self.shares.values_mut() {
             if share.holder.is_quiet() && now < share.last_tick_at + IDLE_TICK_INTERVAL {
                 share.holder.note_running(now);
@@ -209,6 +227,53 @@
         out
     }
 
+    /// Starts using the slots that were waiting if the handover allows it.
+    fn adopt_settled(&mut self, now: Instant) {
+        let is_settled = self.handover.is_settled(now);
+        let waiting = self.shares.values_mut().filter(|share| !share.pending.is_empty());
+        for share in waiting.filter(|_| is_settled) {
+            let slots = std::mem::take(&mut share.pending);
+            share.holder.adopt_slots(now, now, &slots, Adoption::HandedOver);
+            share.adopted = share.adopted.iter().chain(slots.iter()).collect();
+        }
+    }
+
+    /// Returns whether slots wait for the handover.
+    pub(crate) fn waits_for_handover(&self) -> bool {
+        self.shares.values().any(|share| !share.pending.is_empty())
+    }
+
+    /// Returns the questions to other VMs about their lists of VMs. Those that answer nothing may run an earlier version;
+    /// each of them is returned with an organisation whose quota it can be asked for. `is_gone` tells VMs that answer
+    /// nobody.
+    pub(crate) fn handover_questions(&mut self, now: Instant, is_gone: impl Fn(&VmName) -> bool) -> HandoverQuestions {
+        let asked = self.handover.on_tick(now, is_gone);
+        let org = self.shares.keys().next();
+        let unanswered = self.handover.unanswered(now).filter(|vm| asked.contains(vm));
+        let probes = unanswered.filter_map(|vm| Some((vm.clone(), org?.clone())));
+        let probes = probes.collect();
+        let questions = asked.iter().map(|vm| (vm.clone(), self.handover_msg(vm, true, now)));
+        (questions.collect(), probes)
+    }
+
+    /// Returns the message to `to` about the list of VMs from which shares are derived.
+    fn handover_msg(&self, to: &VmName, needs_answer: bool, now: Instant) -> HandoverMsg {
+        let borrows = self.shares.values().any(|share| share.holder.borrows_from(to));
+        self.handover.msg(now, borrows, needs_answer)
+    }
+
+    /// Handles what another VM says about its list; returns the answer that it needs.
+    pub(crate) fn on_handover(&mut self, from: &VmName, msg: &HandoverMsg, now: Instant) -> Option<HandoverMsg> {
+        self.handover.on_msg(now, from, msg);
+        self.adopt_settled(now);
+        msg.needs_answer.then(|| self.handover_msg(from, false, now))
+    }
+
+    /// Records that a VM of an earlier version has this VM in its list.
+    pub(crate) fn on_listed_by(&mut self, vm: &VmName, now: Instant) {
+        self.handover.on_listed_by(now, vm);
+    }
+
     /// Handles messages of another VM and returns the answers.
     pub(crate) fn on_msgs(&mut self, from: &VmName, msgs: &[Msg], now: Instant) -> Vec<Outgoing> {
         let mut out = Vec::new();
@@ -238,7 +303,7 @@
 
 /// Returns the owner of each slot of an organisation's quota by rendezvous hashing: the listed VM with the highest
 /// weight that does not yet own its even part. A change of the list moves few slots.
-fn owners<'a>(org: &OrgName, slots: u16, vms: &'a [HashedVm<'a>]) -> Vec<(u16, &'a AnnouncedVm)> {
+fn owners<'a>(org: &OrgName, slots: u16, vms: &'a [HashedVm<'a>]) -> Vec<(u16, &'a Owner)> {
     let max_per_vm = usize::from(slots).div_ceil(vms.len().max(1));
     let org_hash = hash(&[org.as_str()]);
     let mut owned_counts: Vec<usize> = vec![0; vms.len()];
@@ -259,12 +324,12 @@
 
 /// A VM with the hash of its name, computed once for all slots and organisations.
 struct HashedVm<'a> {
-    vm: &'a AnnouncedVm,
+    vm: &'a Owner,
     hash: u64,
 }
 
-impl<'a> From<&'a AnnouncedVm> for HashedVm<'a> {
-    fn from(vm: &'a AnnouncedVm) -> Self {
+impl<'a> From<&'a Owner> for HashedVm<'a> {
+    fn from(vm: &'a Owner) -> Self {
         Self {
             hash: hash(&[vm.vm.as_str()]),
             vm,
@@ -292,3 +357,7 @@
 #[cfg(test)]
 #[path = "../../tests/unit/quota_controller.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../../tests/unit/quota_simulation.rs"]
+mod simulation;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mh_admin::Metrics;
-use mh_budget::{Answer, Msg, Outgoing, VmIdentity};
+use mh_budget::{Answer, Msg, Outgoing, Owner, VmIdentity};
 use mh_edge::CallerPort;
 use mh_limit::Reply;
 use mh_member::{Membership, Outbox, VmList};
@@ -19,6 +19,7 @@
 use super::pending_replies::PendingReplies;
 use super::ports;
 use super::supervise::supervise;
+use super::unlisted_vm::UnlistedVm;
 use crate::control::{
     Datagram, DeploymentState, QuotaController, Relay, StaleVms, encode, follow_feed, run_membership,
 };
@@ -62,6 +63,8 @@
     metrics: OnceLock<Metrics>,
     pub(crate) stale_vms: Mutex<StaleVms>,
     membership_list: Mutex<VmList>,
+    /// VMs that are up and missing in this VM's list.
+    unlisted_vms: Mutex<Vec<UnlistedVm>>,
     shift_writes: Mutex<HashMap<(ServiceName, ShiftPhase), Instant>>,
     sharing_vms: AtomicU32,
     next_timed_change: Mutex<Option<Instant>>,
@@ -129,6 +132,7 @@
             metrics: OnceLock::new(),
             stale_vms: Mutex::default(),
             membership_list: Mutex::default(),
+            unlisted_vms: Mutex::default(),
             shift_writes: Mutex::default(),
             sharing_vms: AtomicU32::new(1),
             next_timed_change: Mutex::default(),
@@ -192,9 +196,9 @@
         self.metrics.get().map(Metrics::render).unwrap_or_default()
     }
 
-    /// Receives one datagram of another VM into `buf` and returns its length.
-    pub(crate) async fn receive(&self, buf: &mut [u8]) -> std::io::Result<usize> {
-        self.socket.recv_from(buf).await.map(|(len, _)| len)
+    /// Receives one datagram of another VM into `buf`; returns its length and the sender's address.
+    pub(crate) async fn receive(&self, buf: &mut [u8]) -> std::io::Result<(usize, SocketAddr)> {
+        self.socket.recv_from(buf).await
     }
 
     /// Sends a datagram to another VM. A lost datagram is compensated by later ones.
@@ -233,9 +237,26 @@
         }
     }
 
-    /// Returns the peer address of a listed VM.
+    /// Returns the peer address of a VM that is listed or known to be up.
     pub(crate) fn peer_addr(&self, vm: &VmName) -> Option<SocketAddr> {
-        lock(&self.deployment).vm(vm).map(|listed| listed.peers)
+        let listed = lock(&self.deployment).vm(vm).map(|listed| listed.peers);
+        listed.or_else(|| {
+            let unlisted = lock(&self.unlisted_vms);
+            unlisted.iter().find(|known| known.vm == *vm).map(|known| known.addr)
+        })
+    }
+
+    /// Sets the VMs that are up and missing in this VM's list; they share quotas.
+    pub(crate) fn set_unlisted_vms(&self, vms: Vec<UnlistedVm>) {
+        let changed = {
+            let mut held = lock(&self.unlisted_vms);
+            let changed = *held != vms;
+            *held = vms;
+            changed
+        };
+        if changed {
+            self.rebuild(Instant::now());
+        }
     }
 
     /// Returns whether this VM accepts callers.
@@ -261,7 +282,11 @@
         let previous = self.gateway.live();
         let mut live = deployment.build_live_state(&previous, self.sharing_vms(), now);
         if let (Some(plan), Some(read_at)) = (deployment.plan(), deployment.vms_read_at()) {
-            let vms: Vec<AnnouncedVm> = deployment.vms().cloned().collect();
+            let mut vms: Vec<Owner> = deployment.vms().map(Owner::from).collect();
+            let unlisted = lock(&self.unlisted_vms);
+            let missing = unlisted.iter().filter(|unlisted| deployment.vm(&unlisted.vm).is_none());
+            vms.extend(missing.map(Owner::from));
+            drop(unlisted);
             let mut quotas = lock(&self.quotas);
             quotas.sync(plan, &vms, read_at, now);
             live.quotas = quotas.limiters();
--- a/crates/mh_gateway/src/node/node_peers.rs
+++ b/crates/mh_gateway/src/node/node_peers.rs
@@ -128,7 +128,7 @@
     }
 
     /// Requests one token of a quota from another VM's share; `None` after [`REPLY_TIMEOUT`].
-    async fn ask_quota(&self, vm: &VmName, org: &OrgName) -> Option<Answer> {
+    pub(crate) async fn ask_quota(&self, vm: &VmName, org: &OrgName) -> Option<Answer> {
         let addr = self.peer_addr(vm)?;
         let org = org.clone();
         let send = |number| self.send_to(addr, &Datagram::Take { number, org });
