Bound the memory of operations' answers over all operations

A VM of `mangohook run` grew to 237 MB while faulty servers sent answers without end to operations of 80 callers; a VM has 128 MB at the target size.

Cause: the answer of an operation is read as a whole before it is passed on, up to 8 MB each, with no limit for all of them.

The budget is that of the gateway's buffered bodies, which moves to mh_edge.

--- a/crates/mh_edge/src/edge.rs
+++ b/crates/mh_edge/src/edge.rs
@@ -21,12 +21,12 @@
 use crate::forward::{Forwarder, Payload};
 use crate::headers::{REQUEST_ID_HEADER, total_bytes};
 use crate::lookup::{LOOKUP_PATH, LookupResponse, requested_id_count};
-use crate::operations::{EdgeLinks, Operations};
+use crate::operations::{EdgeLinks, MAX_ANSWERS_BYTES, Operations};
 use crate::refusal::Refusal;
 use crate::request_id::RequestId;
 use crate::response_body::ResponseBody;
 use crate::upload::{UploadProgress, read_body};
-use crate::{EdgeCfg, LiveState, PoisonGate};
+use crate::{BufferBudget, EdgeCfg, LiveState, PoisonGate};
 use key_check::authorise;
 
 /// Request counters since the start of the process.
@@ -50,6 +50,8 @@
     live: ArcSwap<LiveState>,
     counters: Counters,
     operations: Operations,
+    /// Memory for the parts of operations' answers beyond the first bytes.
+    answer_budget: BufferBudget,
     freshness_gate: FreshnessGate,
     poison: Arc<PoisonGate>,
     links: OnceLock<Arc<dyn EdgeLinks>>,
@@ -81,6 +83,7 @@
             live: ArcSwap::default(),
             counters: Counters::default(),
             operations: Operations::new(owner, TableLimits::default()),
+            answer_budget: BufferBudget::new(MAX_ANSWERS_BYTES),
             freshness_gate: FreshnessGate::new(Instant::now()),
             poison,
             links: OnceLock::new(),
@@ -235,6 +238,7 @@
             id,
             deadline,
             poison: Arc::clone(&self.poison),
+            answer_budget: self.answer_budget.clone(),
             caller: None,
             fingerprint: None,
         })
--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -27,7 +27,7 @@
 use crate::response_body::ResponseBody;
 use crate::upload::{Upload, UploadProgress};
 use crate::version_gate::VersionPick;
-use crate::{Backends, EdgeCfg, PoisonGate, VersionGate};
+use crate::{Backends, BufferBudget, EdgeCfg, PoisonGate, VersionGate};
 
 /// Longest time from the first byte of a response head to its end; a typical head fits into one packet.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
@@ -57,6 +57,7 @@
     pub(crate) id: RequestId,
     pub(crate) deadline: Deadline,
     pub(crate) poison: Arc<PoisonGate>,
+    pub(crate) answer_budget: BufferBudget,
     /// Organisation that the request is made for; `None` on an open route.
     pub(crate) caller: Option<OrgName>,
     /// Identifies requests with the same contents; `None` if the body is not known before it is sent.
@@ -122,9 +123,12 @@
             .exchange(picked, connection, &parts, Upload::buffered(body.clone()))
             .await;
         let whole = match response {
-            Ok(response) => tokio::time::timeout_at(forwarder.deadline.instant(), read_answer(response))
-                .await
-                .unwrap_or(Err(Code::AnswerTimeout)),
+            Ok(response) => tokio::time::timeout_at(
+                forwarder.deadline.instant(),
+                read_answer(response, &forwarder.answer_budget),
+            )
+            .await
+            .unwrap_or(Err(Code::AnswerTimeout)),
             Err(failure) => Err(failure.code),
         };
         match whole {
--- a/crates/mh_edge/src/lib.rs
+++ b/crates/mh_edge/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod admission;
 mod backends;
+mod buffer_budget;
 mod caller_stream;
 mod cfg;
 mod connection_pool;
@@ -47,6 +48,7 @@
 
 pub use admission::admit_request;
 pub use backends::{Backends, PickedServer};
+pub use buffer_budget::{BufferBudget, BufferPermit};
 pub use cfg::EdgeCfg;
 pub use connection_pool::{ANY_IDLE_TIME, Connection, ConnectionPool};
 pub use crash_peers::CrashPeers;
--- a/crates/mh_edge/src/operations.rs
+++ b/crates/mh_edge/src/operations.rs
@@ -12,7 +12,7 @@
 use sha2::{Digest, Sha256};
 use tokio::time::Instant;
 
-pub(crate) use answer::{read_answer, to_response};
+pub(crate) use answer::{MAX_ANSWERS_BYTES, read_answer, to_response};
 pub use links::{BoxFuture, EdgeLinks};
 
 use crate::operations::answer::to_operation_answer;
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -2,7 +2,6 @@
 mod answer_kind;
 mod attempt;
 mod body;
-mod buffer_budget;
 mod buffered_answer;
 mod counters;
 mod exchange;
--- a/crates/mh_gateway/src/request/body.rs
+++ b/crates/mh_gateway/src/request/body.rs
@@ -7,8 +7,8 @@
 use siphasher::sip128::SipHasher13;
 use tokio::time::Instant;
 
-use super::buffer_budget::BufferBudget;
 use crate::RequestKind;
+use mh_edge::BufferBudget;
 
 /// Largest body that is buffered so that it can be sent again, in bytes.
 const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
--- a/crates/mh_gateway/src/request/buffered_answer.rs
+++ b/crates/mh_gateway/src/request/buffered_answer.rs
@@ -6,7 +6,7 @@
 use hyper::header::{CONNECTION, HeaderMap, HeaderName};
 use tokio::time::Instant;
 
-use super::buffer_budget::BufferBudget;
+use mh_edge::BufferBudget;
 
 /// Largest answer that is buffered before it is passed on, in bytes. Only a buffered answer can be checked for
 /// truncation before the caller gets it; a truncated one makes an idempotent request be sent again.
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -17,7 +17,6 @@
 use tokio::time::Instant;
 
 use super::body::Body;
-use super::buffer_budget::BufferBudget;
 use super::counters::{Counters, RunningGuard, increment};
 use super::forward::forward;
 use super::limit_gate::LimitGate;
@@ -25,6 +24,7 @@
 use super::request_context::RequestContext;
 use super::server_paths::{AnyDial, ServerPaths};
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
+use mh_edge::BufferBudget;
 
 /// `Retry-After` of refusals while this VM is not ready.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/mh_gateway/src/request/request_context.rs
+++ b/crates/mh_gateway/src/request/request_context.rs
@@ -10,10 +10,10 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::buffer_budget::BufferBudget;
 use super::limit_gate::LimitGate;
 use super::server_paths::{RequestDial, ServerPaths};
 use crate::{ActiveShift, HeaderNames, HostRoute, LiveState, PlanOrg, ServiceBackends};
+use mh_edge::BufferBudget;
 
 /// Time past a route's timeout that is allowed for the arrival of the server's own timeout answer.
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
--- a/crates/mh_gateway/tests/unit/tunnel_client.rs
+++ b/crates/mh_gateway/tests/unit/tunnel_client.rs
@@ -1,6 +1,7 @@
 //! Ends of a tunnel, as the VM that uses it sees them.
 
 use std::io::ErrorKind;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -33,9 +34,9 @@
         assert!(req.contains("mangohook-tunnel: frames"), "{req}");
         stream.write_all(head.as_bytes()).await.expect("the VM reads");
         // The bytes must leave the socket before a reset.
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
         stream.write_all(bytes).await.expect("the VM reads");
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
         if matches!(end, End::Reset) {
             stream.set_zero_linger().expect("a socket");
         }
@@ -80,3 +81,38 @@
     assert!(read.is_empty());
     assert!(error.is_some());
 }
+
+/// Guards against a VM that reads on without end what another VM sends instead of opening a tunnel.
+#[tokio::test]
+async fn endless_answers_of_a_vm_are_not_read_on() {
+    let answers = [
+        ("", "no answer "),
+        ("HTTP/1.1 200 OK\r\n", "x-more: y\r\n"),
+        ("HTTP/1.1 200 OK\r\nx-long: ", "yyyyyyyyyyyyyyyy"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("HTTP/1.1 503 Busy\r\n\r\n", "body"),
+        ("HTTP/1.1 200 OK\r\nmangohook-tunnel: frames\r\n\r\n", "\0\x04body"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "body"),
+    ];
+    for (start, more) in answers {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
+        let addr = listener.local_addr().expect("a bound address");
+        let vm = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let _ = stream.read(&mut [0; 4096]).await;
+            let more = more.repeat(8 * 1024 / more.len());
+            let mut sent = stream.write_all(start.as_bytes()).await;
+            while sent.is_ok() {
+                sent = stream.write_all(more.as_bytes()).await;
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        });
+
+        let server = "s1".into();
+        let opened = tokio::time::timeout(Duration::from_millis(250), open_tunnel(addr, &server, addr)).await;
+        drop(opened);
+
+        let closed = tokio::time::timeout(Duration::from_mins(1), vm).await;
+        assert!(closed.is_ok(), "{start:?} {more:?}: the connection stays open");
+    }
+}
--- a/tests/tunnelled_answers.rs
+++ b/tests/tunnelled_answers.rs
@@ -108,9 +108,10 @@
         .find_map(|line| line.strip_prefix(&format!("{REQUEST_ID}: ")));
     let id = id.unwrap_or_default();
     stream.set_nodelay(true)?;
-    let (parts, length) = match head.contains("/long") {
-        true => (PARTS, String::new()),
-        false => (1, format!("content-length: {}\r\nconnection: close\r\n", part(0).len())),
+    let (parts, length) = if head.contains("/long") {
+        (PARTS, String::new())
+    } else {
+        (1, format!("content-length: {}\r\nconnection: close\r\n", part(0).len()))
     };
     let head_text = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{STAMP}: {id}\r\n{length}\r\n");
     stream.write_all(head_text.as_bytes()).await?;
