Let the soak end tunnels, return VMs during a cut from the store, and send endless answers

Callers of cut-off VMs got parts of answers that looked complete, and the soak did not see it: its servers stated the length of every answer, and its proxies and crashing servers closed connections where a network or a crash resets them.

A quarter of the answers of healthy servers are now sent in parts and end with their connection. Further steps, drawn from a generator of their own so that listed seeds keep their faults, end the VMs that pass answers on, return a VM from planned work while another one is cut off from the store, and let servers send without end. Proxies reset both sides if one is reset, and a server that crashes has its connections reset. OTHER_PROGRAM runs one VM with another build.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,11 +3,15 @@
 //! Each seed starts VM processes, servers and a stand-in for the store, and injects overlapping faults into links,
 //! processes, servers and the store. Throughout, the test checks that callers get complete answers to their own
 //! requests, that no request runs twice or after it was refused, that servers see the right organisation and no key,
-//! that quotas and the limits of servers hold, that settings never revert to an older version, that planned stops abort no request, and that
-//! every VM serves again at the end.
+//! that quotas and the limits of servers hold, that settings never revert to an older version, that planned stops abort
+//! no request, and that every VM serves again at the end. Some answers end with their connection, and some never end.
+//! VMs return from planned work while others are cut off from the store.
 //!
-//! A second set of faults cuts VMs off from all servers and lets the store leave calls unanswered. Each VM then has links
-//! and a region of its own, so that no other VM tells it the addresses of its links.
+//! A second set of faults cuts VMs off from all servers, ends VMs that pass answers on to them, and lets the store leave
+//! calls unanswered. Each VM then has links and a region of its own, so that no other VM tells it the addresses of its
+//! links.
+//!
+//! One VM runs the program `OTHER_PROGRAM`, if that is set, beside this build.
 //!
 //! `SOAK_SEEDS=100..150 SOAK_ROUNDS=2 cargo test --test soak` runs other seeds, three at a time. The test
 //! does not measure response times, because other tests may run at the same time as this one.
@@ -73,14 +77,21 @@
 
 async fn run_seed(seed: u64, rounds: u64, faults: FaultSet) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
+    // Faults that were added later have a generator of their own, so that a seed keeps its other faults.
+    let mut later_rng = StdRng::seed_from_u64(!seed);
     let mut fleet = Fleet::start(faults).await;
     for _ in 0..rounds {
         let (vms, servers) = (fleet.vm_count(), fleet.server_count());
         fleet.set_fault_free(false);
-        let steps = match faults {
+        let mut steps = match faults {
             FaultSet::All => step::random_faults(&mut rng, vms, servers),
             FaultSet::CutVms => step::random_cuts(&mut rng, vms, servers),
         };
+        steps.extend(match faults {
+            FaultSet::All => step::returns_and_endless_answers(&mut later_rng, vms, servers),
+            FaultSet::CutVms => step::ends_of_tunnels(&mut later_rng, vms),
+        });
+        let steps = step::sorted_by_time(steps);
         run_steps(&mut fleet, steps, false).await;
         for vm in 0..vms {
             fleet.apply(Step::Resume(vm)).await;
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -19,6 +19,8 @@
 
 /// Number of VMs.
 const VMS: usize = 4;
+/// VM that runs another build of the program, if one is given.
+const OTHER_PROGRAM_VM: usize = 1;
 /// Number of servers of each service.
 const SERVERS: usize = 3;
 
@@ -80,6 +82,9 @@
             let name = format!("vm-{n}");
             vms.push(Vm::new(&name, DOMAINS[n % DOMAINS.len()], folder.path(), &store, faults).await);
         }
+        if let Some(program) = std::env::var_os("OTHER_PROGRAM") {
+            vms[OTHER_PROGRAM_VM].program = program.into();
+        }
         let mut fleet = Self {
             ledger: Ledger::default(),
             store,
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -129,45 +129,55 @@
 }
 
 async fn forward(
-    caller: TcpStream,
+    mut caller: TcpStream,
     target: SocketAddr,
     link: watch::Receiver<Link>,
     mut open: watch::Receiver<(u64, OpenConnections)>,
 ) {
-    let Ok(server) = TcpStream::connect(target).await else {
+    let Ok(mut server) = TcpStream::connect(target).await else {
         return;
     };
     let _ = (caller.set_nodelay(true), server.set_nodelay(true));
     open.mark_unchanged();
-    let (from_caller, to_caller) = caller.into_split();
-    let (from_server, to_server) = server.into_split();
-    let copies = async {
-        tokio::join!(
-            copy(from_caller, to_server, link.clone(), Direction::ToTarget),
-            copy(from_server, to_caller, link, Direction::FromTarget)
-        );
-    };
-    tokio::pin!(copies);
-    tokio::select! {
-        () = &mut copies => {}
-        _ = open.changed() => {
-            if open.borrow().1 == OpenConnections::Stalled {
-                // Keeps the two sides open without forwarding until the test ends.
-                std::future::pending::<()>().await;
+    let is_reset = {
+        let (from_caller, to_caller) = caller.split();
+        let (from_server, to_server) = server.split();
+        let copies = async {
+            tokio::try_join!(
+                copy(from_caller, to_server, link.clone(), Direction::ToTarget),
+                copy(from_server, to_caller, link, Direction::FromTarget)
+            )
+        };
+        tokio::select! {
+            copied = copies => copied.is_err(),
+            _ = open.changed() => {
+                if open.borrow().1 == OpenConnections::Stalled {
+                    // Keeps the two sides open without forwarding until the test ends.
+                    std::future::pending::<()>().await;
+                }
+                true
             }
-            // Dropping connections with unread bytes resets them.
         }
+    };
+    if is_reset {
+        // A connection that is only closed would end an answer without a length.
+        let _ = (caller.set_zero_linger(), server.set_zero_linger());
     }
 }
 
-/// Copies until either side closes; a stalled direction holds bytes until the link changes.
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut link: watch::Receiver<Link>, direction: Direction) {
+/// Copies until one side closes; a stalled direction holds bytes until the link changes. Fails if a side is reset.
+async fn copy(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    mut link: watch::Receiver<Link>,
+    direction: Direction,
+) -> std::io::Result<()> {
     let mut buf = vec![0; 16 * 1024];
     loop {
-        let Ok(len @ 1..) = from.read(&mut buf).await else {
-            let _ = to.shutdown().await;
-            return;
-        };
+        let len = from.read(&mut buf).await?;
+        if len == 0 {
+            return to.shutdown().await;
+        }
         let is_stalled = |link: &Link| {
             matches!(
                 (direction, link),
@@ -175,15 +185,13 @@
             )
         };
         if link.wait_for(|link| !is_stalled(link)).await.is_err() {
-            return;
+            return Ok(());
         }
         let delay = match *link.borrow() {
             Link::Delayed(time) => time,
             _ => Duration::ZERO,
         };
         tokio::time::sleep(delay).await;
-        if to.write_all(&buf[..len]).await.is_err() {
-            return;
-        }
+        to.write_all(&buf[..len]).await?;
     }
 }
--- a/tests/soak/server.rs
+++ b/tests/soak/server.rs
@@ -19,7 +19,7 @@
 
 use super::ledger::{Ledger, ReceivedRequest, answer_body};
 use super::operator::{EXPECTED_SERVER, KEY, NOT_RUN, ORGANISATION, REQUEST_ID, SERVER_LIMIT, STAMP};
-use super::proxy::Proxy;
+use super::proxy::{OpenConnections, Proxy};
 
 /// Start of the paths of requests that crash the server that runs them.
 pub const DEADLY_PATH: &str = "/stock/deadly-";
@@ -27,6 +27,9 @@
 /// Longest time for which a healthy server works on a request.
 const MAX_WORK_TIME: Duration = Duration::from_millis(30);
 
+/// Time within which the proxy of a crashed server resets its connections.
+const RESET_TIME: Duration = Duration::from_millis(200);
+
 /// Number of requests that a server runs at a time; it refuses others.
 const MAX_CONCURRENT_REQUESTS: usize = 16;
 
@@ -42,6 +45,8 @@
     Truncates,
     /// Runs requests, but answers about half of them with an error.
     Fails,
+    /// Runs requests, but answers about half of them with a body that never ends.
+    Endless,
 }
 
 /// A backend server behind a proxy.
@@ -138,9 +143,16 @@
         self.deaths.subscribe()
     }
 
-    /// Stops the server and closes all its connections.
+    /// Stops the server and resets all its connections.
     pub fn crash(&self) {
-        self.accept_task.abort();
+        self.proxy.set_down(true);
+        self.proxy.set_open_connections(OpenConnections::Reset);
+        let accept_task = self.accept_task.abort_handle();
+        // Closed connections would reach the proxy as complete answers if it had not reset them before.
+        tokio::spawn(async move {
+            tokio::time::sleep(RESET_TIME).await;
+            accept_task.abort();
+        });
     }
 }
 
@@ -163,7 +175,14 @@
 impl std::error::Error for ConnectionAborted {}
 
 type Body = http_body_util::Either<Full<Bytes>, http_body_util::StreamBody<TruncatedBody>>;
-type TruncatedBody = tokio_stream::Iter<std::vec::IntoIter<Result<hyper::body::Frame<Bytes>, Infallible>>>;
+type TruncatedBody = tokio_stream::wrappers::ReceiverStream<Result<hyper::body::Frame<Bytes>, Infallible>>;
+
+/// Parts of an answer without a length, and the longest time between two.
+const PARTS: usize = 4;
+const MAX_PART_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time between two pieces of an endless answer.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(2);
 
 /// A running request, which ends when it is answered or its connection closes.
 struct Slot<'a> {
@@ -231,6 +250,8 @@
         Behaviour::DropsAnswers if is_affected => return Err(ConnectionAborted),
         Behaviour::Fails if is_affected => respond(StatusCode::INTERNAL_SERVER_ERROR, &id, None, "no".to_owned()),
         Behaviour::Truncates if is_affected => truncated(&id),
+        Behaviour::Endless if is_affected => endless(&id),
+        Behaviour::Healthy if rand::rng().random_ratio(1, 4) => without_length(&id),
         _ => respond(StatusCode::OK, &id, None, answer_body(&id)),
     };
     let limit = *state.limit.lock().unwrap_or_else(PoisonError::into_inner);
@@ -256,13 +277,52 @@
 fn truncated(id: &str) -> Response<Body> {
     let body = answer_body(id);
     let half = Bytes::copy_from_slice(&body.as_bytes()[..body.len() / 2]);
-    let frames = vec![Ok(hyper::body::Frame::data(half))];
-    let body_len = body.len();
-    let stream = http_body_util::StreamBody::new(tokio_stream::iter(frames));
+    let mut answer = streamed(id, std::iter::once(half), Duration::ZERO);
+    answer
+        .headers_mut()
+        .insert("content-length", HeaderValue::from(body.len()));
+    answer
+}
+
+/// A complete answer that is sent in parts and ends with its connection.
+fn without_length(id: &str) -> Response<Body> {
+    let body = answer_body(id).into_bytes();
+    let parts: Vec<Bytes> = body
+        .chunks(body.len().div_ceil(PARTS).max(1))
+        .map(Bytes::copy_from_slice)
+        .collect();
+    let interval = MAX_PART_INTERVAL.mul_f64(rand::rng().random::<f64>());
+    let mut answer = streamed(id, parts.into_iter(), interval);
+    // An answer of this version has no chunks.
+    *answer.version_mut() = hyper::Version::HTTP_10;
+    answer
+}
+
+/// An answer that goes on until the connection is closed.
+fn endless(id: &str) -> Response<Body> {
+    streamed(
+        id,
+        std::iter::repeat(Bytes::from_static(&[b'x'; 4096])),
+        ENDLESS_INTERVAL,
+    )
+}
+
+/// An answer whose body is sent part by part.
+fn streamed(id: &str, parts: impl Iterator<Item = Bytes> + Send + 'static, interval: Duration) -> Response<Body> {
+    let (tx, rx) = tokio::sync::mpsc::channel(1);
+    tokio::spawn(async move {
+        for part in parts {
+            // The receiver is dropped with the connection.
+            if tx.send(Ok(hyper::body::Frame::data(part))).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(interval).await;
+        }
+    });
+    let stream = http_body_util::StreamBody::new(tokio_stream::wrappers::ReceiverStream::new(rx));
     Response::builder()
         .header(REQUEST_ID, id)
         .header(STAMP, id)
-        .header("content-length", body_len)
         .body(http_body_util::Either::Right(stream))
         .expect("the headers are valid")
 }
--- a/tests/soak/step.rs
+++ b/tests/soak/step.rs
@@ -231,6 +231,62 @@
     steps
 }
 
+/// VMs that return from planned work while another one is cut off from the store, and servers whose answers never end.
+pub fn returns_and_endless_answers(rng: &mut StdRng, vms: usize, servers: usize) -> Vec<TimedStep> {
+    let mut steps = Vec::new();
+    if rng.random() {
+        let at = Duration::from_millis(rng.random_range(0..1500));
+        let (first, other) = (rng.random_range(0..vms), rng.random_range(1..vms));
+        let cut_at = at + Duration::from_millis(rng.random_range(2200..6000));
+        let healed_at = cut_at + Duration::from_millis(rng.random_range(2000..6000));
+        let other = (first + other) % vms;
+        steps.extend([
+            (at, Step::Terminate(first)),
+            (at + STOP_TIME, Step::Start(first)),
+            (cut_at, Step::StoreLink(other, Link::StalledToTarget)),
+            (healed_at, Step::StoreLink(other, Link::Healthy)),
+        ]);
+    }
+    for server in 0..servers {
+        if !rng.random_ratio(1, 4) {
+            continue;
+        }
+        let at = Duration::from_millis(rng.random_range(0..5000));
+        let end = at + Duration::from_millis(rng.random_range(500..3000));
+        steps.extend([
+            (at, Step::SetBehaviour(server, Behaviour::Endless)),
+            (end, Step::SetBehaviour(server, Behaviour::Healthy)),
+        ]);
+    }
+    steps
+}
+
+/// Stops and kills of VMs while others get their answers through them.
+pub fn ends_of_tunnels(rng: &mut StdRng, vms: usize) -> Vec<TimedStep> {
+    let mut steps = Vec::new();
+    let cut_off = rng.random_range(0..vms);
+    let at = Duration::from_millis(rng.random_range(0..2000));
+    steps.extend([
+        (at, Step::CutOff(cut_off, Some(OpenConnections::Reset))),
+        (at + Duration::from_secs(6), Step::CutOff(cut_off, None)),
+    ]);
+    for other in (1..vms).map(|n| (cut_off + n) % vms) {
+        let at = at + Duration::from_millis(rng.random_range(500..5000));
+        match rng.random_range(0..3) {
+            0 => steps.extend([
+                (at, Step::Kill(other)),
+                (at + Duration::from_secs(1), Step::Start(other)),
+            ]),
+            1 => steps.extend([(at, Step::Terminate(other)), (at + STOP_TIME, Step::Start(other))]),
+            _ => steps.extend([
+                (at, Step::Pause(other)),
+                (at + Duration::from_millis(1500), Step::Resume(other)),
+            ]),
+        }
+    }
+    steps
+}
+
 /// Planned work only: one VM is stopped and started while configurations and servers change.
 pub fn planned_work(rng: &mut StdRng, vms: usize, servers: usize) -> Vec<TimedStep> {
     let mut steps = Vec::new();
@@ -254,7 +310,7 @@
     sorted_by_time(steps)
 }
 
-fn sorted_by_time(mut steps: Vec<TimedStep>) -> Vec<TimedStep> {
+pub fn sorted_by_time(mut steps: Vec<TimedStep>) -> Vec<TimedStep> {
     steps.sort_by_key(|(at, _)| *at);
     steps
 }
