--- a/crates/mh_budget/src/handover.rs
+++ b/crates/mh_budget/src/handover.rs
@@ -26,8 +26,8 @@
 /// slots that it had before, so that VMs which are cut off from the source of the list go on.
 ///
 /// A confirmation stays valid as long as the VM goes on claiming the slots: another one could gain them only with the
-/// confirmation of this one. Slots that were gained together wait together, in a *stage*; later changes of the list begin
-/// further stages and do not delay earlier ones.
+/// confirmation of this one. Slots that were gained together wait together, in a *stage*; later changes of the list
+/// begin further stages and do not delay earlier ones.
 ///
 /// A VM that is gone counts as agreed once a process that was only paused would have to confirm its slots again.
 #[derive(Debug)]
@@ -193,8 +193,8 @@
         confirmed.for_each(|stage| stage.confirm(from, ready_at));
     }
 
-    /// Returns the VMs that have answered nothing for some time. Whether one that runs an earlier version has this VM in
-    /// its list must be found out in another way.
+    /// Returns the VMs that have answered nothing for some time, because they run an earlier version or are not up. For
+    /// the former, the caller must find out otherwise whether they have this VM in their lists.
     pub fn unanswered(&self, now: Instant) -> impl Iterator<Item = &VmName> {
         let is_silent = move |peer: &Peer| {
             let is_old = peer.asked_at.is_some_and(|at| now >= at + UNANSWERED_TIME);
--- a/crates/mh_gateway/src/node/shutdown.rs
+++ b/crates/mh_gateway/src/node/shutdown.rs
@@ -35,8 +35,8 @@
 }
 
 /// Serves until SIGTERM and then shuts down: callers are redirected to other VMs, requests are served for a fraction
-/// of the grace period, and the process exits when the last one is answered and no tunnel of another VM is open. `reload` is called on SIGHUP and when the
-/// settings file changes.
+/// of the grace period, and the process exits when the last one is answered and no tunnel of another VM is open.
+/// `reload` is called on SIGHUP and when the settings file changes.
 pub async fn run_until_signal(
     node: Arc<GatewayNode>,
     caller_port: CallerPort,
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -307,6 +307,11 @@
             number,
             org: "coop".into(),
         },
+        Datagram::Handover(mh_budget::HandoverMsg {
+            digest: number,
+            held: time,
+            needs_answer: number.is_multiple_of(2),
+        }),
     ]);
     out
 }
