Count VMs missing in the list only while the list cannot be read

Cause: VMs that are up and missing in a VM's list counted as listed there at once. With four restarts in 1.4 s every VM of 85 then had a list of its own, and the handover waits for lists that agree.

They count only while the settings, which are read more often than the list, have not been confirmed within their bound, that is at a VM which is cut off from the store.

--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -156,8 +156,7 @@
     }
 }
 
-/// Returns the VMs that are up and missing in this VM's list, because they have just started or because this VM cannot
-/// read the list now.
+/// Returns the VMs that are up and missing in the list of this VM, which cannot read it now.
 fn unlisted_vms(deployment: &DeploymentState, view: &View) -> Vec<UnlistedVm> {
     let is_up = |member: &&Member| matches!(view.state_of(member), MemberState::Alive | MemberState::Suspect);
     let is_listed = |vm: &VmName| vm == view.local_vm() || deployment.vm(vm).is_some();
@@ -239,7 +238,17 @@
     }
     let lost = deployment.lost_vms(deployment.entry_return(), now);
     let revived = deployment.revived_vms();
-    let unlisted = unlisted_vms(&deployment, view);
+    // The lists of VMs that can read the store agree sooner if each follows the store alone.
+    let max_age_ms = node.gateway.bounds().settings_in_force.as_millis() as u64;
+    let is_current = node
+        .relay
+        .age_ms(Feed::Settings, now)
+        .is_some_and(|ms| ms <= max_age_ms);
+    let unlisted = if is_current {
+        Vec::new()
+    } else {
+        unlisted_vms(&deployment, view)
+    };
     drop(membership);
     drop(deployment);
     node.set_unlisted_vms(unlisted);
--- a/crates/mh_gateway/src/node/unlisted_vm.rs
+++ b/crates/mh_gateway/src/node/unlisted_vm.rs
@@ -5,7 +5,7 @@
 
 use crate::AnnouncedVm;
 
-/// A VM that is up and missing in this VM's list: it has just started, or this VM cannot read the list now.
+/// A VM that is up and missing in this VM's list, which this VM cannot read now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct UnlistedVm {
     pub(crate) vm: VmName,
