Simulate quotas with the rule that the product has for unlisted VMs

The simulation counted VMs that are up and missing in a VM's list at every VM, while the product has counted them since only at a VM that cannot read the list. It now does the same after 2 s without a read.

--- a/crates/mh_gateway/tests/unit/quota_simulation.rs
+++ b/crates/mh_gateway/tests/unit/quota_simulation.rs
@@ -44,6 +44,9 @@
 /// Time for which a VM that is stopped still serves.
 const LEAVE_TIME: Duration = Duration::from_millis(2500);
 
+/// Time since the last read after which a VM counts others that are up and missing in its list.
+const CURRENT_TIME: Duration = Duration::from_secs(2);
+
 /// Longest time after which a VM that reaches the store knows a change of the list, in milliseconds.
 const MAX_LAG_MS: u64 = 1800;
 
@@ -83,6 +86,8 @@
     /// Copy of the list; `None` before the first read.
     list: Option<Vec<Owner>>,
     read_at: Instant,
+    /// When the list was last read, in full or not.
+    listed_at: Instant,
     next_read_at: Instant,
     /// Whether changes since the last read do not suffice.
     needs_new_read: bool,
@@ -106,6 +111,7 @@
             starts: 0,
             list: None,
             read_at: now,
+            listed_at: now,
             next_read_at: now,
             needs_new_read: true,
             next_tick_at: now,
@@ -146,7 +152,8 @@
         self.heard.get(vm).is_some_and(|(at, _)| now < *at + DEAD_AFTER)
     }
 
-    /// The VMs that share quotas in the view of this one: those of its list, and others that are up.
+    /// The VMs that share quotas in the view of this one: those of its list, and others that are up if
+    /// it cannot read the list.
     fn sharing(&self, now: Instant, leaving: &BTreeSet<VmName>) -> Vec<Owner> {
         let listed = self.list.clone().unwrap_or_default();
         let is_listed = |vm: &VmName| listed.iter().any(|owner| owner.vm == *vm);
@@ -159,6 +166,9 @@
             domain: "a".into(),
         });
         let unlisted: Vec<Owner> = unlisted.collect();
+        if now < self.listed_at + CURRENT_TIME {
+            return listed;
+        }
         listed.into_iter().chain(unlisted).collect()
     }
 }
@@ -317,6 +327,7 @@
                 vm.read_at = now;
             }
             vm.list = Some(self.stored.clone());
+            vm.listed_at = now;
             let dead = vm
                 .heard
                 .iter()
