Take blank lines in a body for body, and count heads per request

HeadLimitedStream counted each CR LF CR LF until the request's task had the response, also in the part of the body that arrives with the head, and after responses without a body it went on counting over the next responses. Answers with eight blank lines were lost, as was every ninth one without a body.

The stream now parses heads with httparse, the parser of hyper. Only 1xx heads count as interim responses, bytes after the final head are not looked at, and each request starts a new count. The limits stay: 8 interim responses, 64 KiB per head, the time of a head. That time now also holds for a head that begins in the same read as the end of an interim response.

--- a/crates/mh_edge/src/connection_pool.rs
+++ b/crates/mh_edge/src/connection_pool.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::dial::{ConnectionPath, Dial, Dialed};
-use crate::head_limited_stream::{HeadLimit, HeadLimitedStream, MAX_HEAD_BYTES};
+use crate::head_limited_stream::{HeadLimit, HeadLimitedStream, MAX_HEAD_BYTES, MAX_HEADERS};
 use crate::upload::Upload;
 
 /// Value of `max_idle_time` for [`ConnectionPool::take`] that accepts a connection of any idle time.
@@ -32,9 +32,6 @@
 /// Longest wait for the remainder of a response.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Maximum number of headers in a response.
-const MAX_HEADERS: usize = 200;
-
 /// Time for which idle connections to a server are not reused after it sent bytes that belong to no request, in
 /// milliseconds. Such responses come in bursts, and a late one would be mistaken for the response to the next request.
 const SUSPECT_DURATION_MS: u64 = 10_000;
--- a/crates/mh_edge/src/head_limited_stream.rs
+++ b/crates/mh_edge/src/head_limited_stream.rs
@@ -1,36 +1,42 @@
 use std::io::{Error, ErrorKind, Result};
+use std::mem::MaybeUninit;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use bytes::BytesMut;
+use httparse::ParserConfig;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep};
 
 /// Maximum size of one response head, in bytes; typical heads are a few hundred bytes long.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Maximum bytes read until the head of the final response is complete: interim responses, that head, and the part of
-/// the body that arrives in the same read.
-const MAX_BYTES_BEFORE_BODY: usize = 2 * MAX_HEAD_BYTES;
+/// Maximum number of headers in a response.
+pub(crate) const MAX_HEADERS: usize = 200;
 
 /// Maximum number of interim (1xx) responses to one request.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
-/// Terminator of every head (RFC 9112, section 2.1).
-const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Statuses of interim responses. 101 is final: the bytes after it belong to another protocol.
+const INTERIM_STATUSES: [RangeInclusive<u16>; 2] = [100..=100, 102..=199];
 
 /// Time limit for the response head that a connection is waiting for, shared with its [`HeadLimitedStream`].
 #[derive(Debug, Default)]
 pub(crate) struct HeadLimit {
     /// Longest time from the first byte of a head to its end, in milliseconds; zero while no head is expected.
     limit_ms: AtomicU64,
+    /// Number of requests that the connection was armed for.
+    requests: AtomicU64,
 }
 
 impl HeadLimit {
     /// Enables the limit before a request is sent.
     pub(crate) fn arm(&self, limit: Duration) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
         let ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
         self.limit_ms.store(ms.max(1), Ordering::Release);
     }
@@ -40,26 +46,29 @@
         self.limit_ms.store(0, Ordering::Release);
     }
 
-    fn limit(&self) -> Option<Duration> {
+    /// Returns the limit and the number of the request that it applies to; `None` while no head is expected.
+    fn limit(&self) -> Option<(Duration, u64)> {
         let ms = self.limit_ms.load(Ordering::Acquire);
-        (ms > 0).then(|| Duration::from_millis(ms))
+        (ms > 0).then(|| (Duration::from_millis(ms), self.requests.load(Ordering::Relaxed)))
     }
 }
 
 /// A connection to a backend server that bounds the size and the duration of response heads.
 ///
 /// A faulty server may send header lines or interim responses for as long as the connection is open. The HTTP library
-/// limits the bytes of one head, but neither its duration nor the number of interim responses before it.
+/// limits the bytes of one head, but neither its duration nor the number of interim responses before it. Heads are
+/// parsed with the parser of that library, so that both agree on where the final head ends. What follows it is body.
 #[derive(Debug)]
 pub(crate) struct HeadLimitedStream<S> {
     stream: S,
     head_limit: Arc<HeadLimit>,
-    /// Bytes read since the limit was enabled.
-    bytes_read: usize,
-    /// Heads that ended since the limit was enabled.
-    heads_ended: usize,
-    /// Length of the prefix of [`HEAD_END`] that the last bytes match.
-    matched: usize,
+    /// Number of the request whose response is being received.
+    request: u64,
+    /// Part of a head that has been received.
+    head: BytesMut,
+    interim_responses: usize,
+    /// Whether the final head has ended, so that further bytes are body.
+    has_final_head: bool,
     /// Timer of the head that is being received, from its first byte to its end.
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -69,54 +78,120 @@
         Self {
             stream,
             head_limit,
-            bytes_read: 0,
-            heads_ended: 0,
-            matched: 0,
+            request: 0,
+            head: BytesMut::new(),
+            interim_responses: 0,
+            has_final_head: false,
             timer: None,
         }
     }
 
-    /// Tracks received bytes; fails when they exceed the limits on bytes or on interim responses.
+    /// Tracks received bytes; fails when a head is too long or when there are too many interim responses.
     fn track(&mut self, bytes: &[u8], limit: Duration) -> Result<()> {
-        self.bytes_read += bytes.len();
-        for byte in bytes {
-            self.matched = match self.matched {
-                matched if matched < HEAD_END.len() && *byte == HEAD_END[matched] => matched + 1,
-                _ => usize::from(*byte == HEAD_END[0]),
-            };
-            self.heads_ended += usize::from(self.matched == HEAD_END.len());
+        if self.has_final_head || bytes.is_empty() {
+            return Ok(());
         }
-        if self.bytes_read > MAX_BYTES_BEFORE_BODY || self.heads_ended > MAX_INTERIM_RESPONSES {
-            return Err(Error::new(
-                ErrorKind::InvalidData,
-                "response head exceeds the size limits",
-            ));
+        // Most heads arrive in one read and need no copy.
+        let received_before = self.head.len();
+        let mut joined = std::mem::take(&mut self.head);
+        let mut rest = bytes;
+        if received_before > 0 {
+            joined.extend_from_slice(bytes);
+            rest = &joined;
         }
-        if self.matched == HEAD_END.len() {
-            // The interim response is complete. The time that the server takes until the next head is not limited here.
+        let mut unparsed = received_before;
+        while has_empty_line(rest, unparsed) {
+            let (len, status) = match parse_head(rest) {
+                ParsedHead::Complete { len, status } => (len, status),
+                ParsedHead::Partial => break,
+                // The HTTP library fails at the same byte.
+                ParsedHead::Invalid => {
+                    self.end_head();
+                    return Ok(());
+                }
+            };
             self.timer = None;
-        } else if self.timer.is_none() {
+            if !INTERIM_STATUSES.iter().any(|statuses| statuses.contains(&status)) {
+                self.end_head();
+                return Ok(());
+            }
+            self.interim_responses += 1;
+            if self.interim_responses > MAX_INTERIM_RESPONSES {
+                return Err(too_long());
+            }
+            rest = &rest[len..];
+            unparsed = 0;
+        }
+        if rest.len() > MAX_HEAD_BYTES {
+            return Err(too_long());
+        }
+        // After a complete interim response, the time that the server takes until the next head is not limited here.
+        if !rest.is_empty() && self.timer.is_none() {
             self.timer = Some(Box::pin(tokio::time::sleep_until(Instant::now() + limit)));
         }
+        self.head = if rest.len() == joined.len() {
+            joined
+        } else {
+            BytesMut::from(rest)
+        };
         Ok(())
     }
 
-    fn reset(&mut self) {
-        self.bytes_read = 0;
-        self.heads_ended = 0;
-        self.matched = 0;
+    fn end_head(&mut self) {
+        self.has_final_head = true;
+        self.timer = None;
+    }
+
+    /// Starts over for another request.
+    fn reset(&mut self, request: u64) {
+        self.request = request;
+        self.head = BytesMut::new();
+        self.interim_responses = 0;
+        self.has_final_head = false;
         self.timer = None;
     }
 }
 
+/// Result of parsing the bytes of a head.
+enum ParsedHead {
+    Complete { len: usize, status: u16 },
+    Partial,
+    Invalid,
+}
+
+fn parse_head(bytes: &[u8]) -> ParsedHead {
+    let mut headers = [MaybeUninit::uninit(); MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut []);
+    let parsed = ParserConfig::default().parse_response_with_uninit_headers(&mut response, bytes, &mut headers);
+    match (parsed, response.code) {
+        (Ok(httparse::Status::Complete(len)), Some(status)) => ParsedHead::Complete { len, status },
+        (Ok(httparse::Status::Partial), _) => ParsedHead::Partial,
+        _ => ParsedHead::Invalid,
+    }
+}
+
+/// Returns whether an empty line ends at or after `from`. A head without one is incomplete, so that a head that arrives
+/// byte by byte is not parsed again with each byte.
+fn has_empty_line(bytes: &[u8], from: usize) -> bool {
+    let is_end = |end: usize| bytes[..end].ends_with(b"\n") || bytes[..end].ends_with(b"\n\r");
+    (from..bytes.len()).any(|at| bytes[at] == b'\n' && is_end(at))
+}
+
+fn too_long() -> Error {
+    Error::new(ErrorKind::InvalidData, "response head exceeds the size limits")
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for HeadLimitedStream<S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let Some(limit) = self.head_limit.limit() else {
-            self.reset();
+        let Some((limit, request)) = self.head_limit.limit() else {
+            self.timer = None;
             return read;
         };
+        if request != self.request {
+            self.reset(request);
+        }
         match read {
             Poll::Ready(Ok(())) => Poll::Ready(self.track(&buf.filled()[before..], limit)),
             Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
--- a/crates/mh_gateway/tests/troubled_servers.rs
+++ b/crates/mh_gateway/tests/troubled_servers.rs
@@ -423,3 +423,70 @@
     eventually("the server's connection is closed", || harness.abandoned() == 1).await;
     assert_not_timed_out(&harness);
 }
+
+/// Body of twelve paragraphs, with more blank lines than a request may have interim answers.
+const PARAGRAPHS: &str = "HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 60\r\n\r\n\
+     p\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\np\r\n\r\n";
+
+/// Guards against taking blank lines in a body for ends of heads, by which an answer to a request that has run is lost.
+#[tokio::test]
+async fn blank_lines_in_a_body_are_passed_on() {
+    let in_two_reads = Reply::Later(&PARAGRAPHS[..100], Duration::from_millis(20), &PARAGRAPHS[100..]);
+    let split_head = Reply::Later(&PARAGRAPHS[..30], Duration::from_millis(20), &PARAGRAPHS[30..]);
+    for reply in [Reply::Keep(PARAGRAPHS), in_two_reads, split_head] {
+        for (method, path) in [("GET", "/safe/x"), ("POST", "/pay/x")] {
+            let harness = GatewayHarness::start_with_one_server(&[reply]).await;
+
+            let answer = harness.send(method, path, "").await;
+
+            assert_eq!((answer.status, answer.body.len()), (200, 60), "{reply:?} {answer:?}");
+            assert_eq!(harness.seen().len(), 1);
+        }
+    }
+}
+
+/// Guards against counting the heads of earlier answers of a connection, if these have no body.
+#[tokio::test]
+async fn many_answers_without_body_keep_their_connection() {
+    let empty = Reply::Keep("HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 0\r\n\r\n");
+    let harness = GatewayHarness::start_with_one_server(&[empty; 30]).await;
+
+    for n in 0..30 {
+        let answer = harness.send("POST", &format!("/pay/{n}"), "").await;
+
+        assert_eq!(answer.status, 200, "{n}: {answer:?}");
+    }
+
+    assert_eq!((harness.seen().len(), harness.connections()), (30, 1));
+}
+
+/// Guards against losing an answer after as many interim answers as are allowed, and against waiting for more of them.
+#[tokio::test]
+async fn interim_answers_are_limited_for_each_request() {
+    const INTERIM: &str = "HTTP/1.1 102 Processing\r\n\r\n";
+    let eight: &'static str = format!("{}{PARAGRAPHS}", INTERIM.repeat(8)).leak();
+    let nine: &'static str = format!("{}{PARAGRAPHS}", INTERIM.repeat(9)).leak();
+    let harness =
+        GatewayHarness::start_with_one_server(&[Reply::Keep(eight), Reply::Keep(eight), Reply::Keep(nine)]).await;
+
+    for expected in [200, 200, 502] {
+        let answer = harness.send("POST", "/pay/x", "").await;
+
+        assert_eq!(answer.status, expected, "{answer:?}");
+    }
+}
+
+/// Guards against an unlimited wait for the rest of a head that began in the same read as the end of an interim answer.
+#[tokio::test]
+async fn head_that_stops_after_an_interim_answer_is_abandoned_in_time() {
+    let stops = Reply::Later(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 O",
+        Duration::from_mins(1),
+        "K\r\n",
+    );
+    let harness = GatewayHarness::start(&[stops]).await;
+
+    let answer = harness.get("/safe/x").await;
+
+    assert_eq!((answer.status, harness.seen().len()), (200, 2), "{answer:?}");
+}
