Keep load reports of servers with their speed and age

Servers may state how long work takes on their machine at the moment. Forecasts use the newest report, corrected by the own requests since, and the speed for half a second; measured work times are divided by it. VMs exchange these loads in a datagram of its own, from which a receiver tells delayed and repeated ones. Servers that state no speed are treated as before.

--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -24,6 +24,7 @@
 
 pub(crate) use announce_loop::{announce, withdraw};
 pub(crate) use feed_loop::follow_feed;
+pub(crate) use load_reports::LoadClocks;
 pub(crate) use member_loop::run_membership;
 pub(crate) use relay::{CHANGES_PATH, Relay, parse_changes_query};
 pub(crate) use stale_vms::StaleVms;
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -101,6 +101,31 @@
     },
     /// The list of VMs from which the sender derives the owners of quotas. Unknown to earlier versions.
     Handover(mh_budget::HandoverMsg),
+    /// Loads of servers that state their speed. Unknown to earlier versions.
+    StatedLoads(StatedLoads),
+}
+
+/// Loads that backend servers with a stated speed reported to the sender.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct StatedLoads {
+    /// Incarnation of the sender.
+    pub(crate) run: u64,
+    /// Monotonic clock of the sender in milliseconds, from which the receiver tells delayed messages.
+    pub(crate) sent_ms: u64,
+    /// The loads.
+    pub(crate) loads: Vec<StatedLoad>,
+}
+
+/// Load of one server.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct StatedLoad {
+    pub(crate) server: ServerName,
+    /// Requests at the server.
+    pub(crate) total: u32,
+    /// Age when the message was sent, in units of 10 ms.
+    pub(crate) age_10ms: u32,
+    /// Duration of work in units of 10 percent of the usual one; 0 if unknown.
+    pub(crate) speed_10: u32,
 }
 
 #[cfg(test)]
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -74,6 +74,7 @@
         Datagram::News(report) => node.on_reader_report(from, *report, now),
         Datagram::NoNews => node.on_reader_failed(from),
         Datagram::Loads(loads) => node.on_load_reports(&loads, now),
+        Datagram::StatedLoads(msg) => node.on_stated_loads(from, &msg, now),
         Datagram::Lend(msgs) => {
             let out = lock(&node.quotas).on_msgs(from, &msgs, now);
             node.send_lending(out);
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -21,7 +21,7 @@
 use super::supervise::supervise;
 use super::unlisted_vm::UnlistedVm;
 use crate::control::{
-    Datagram, DeploymentState, QuotaController, Relay, StaleVms, encode, follow_feed, run_membership,
+    Datagram, DeploymentState, LoadClocks, QuotaController, Relay, StaleVms, encode, follow_feed, run_membership,
 };
 use crate::request::Timings;
 use crate::{
@@ -73,6 +73,7 @@
     rebuilds: AtomicU64,
     /// Tunnels to backend servers that are open for other VMs.
     pub(super) open_tunnels: AtomicUsize,
+    pub(crate) load_clocks: Mutex<LoadClocks>,
 }
 
 /// Locks a mutex, also after another thread has panicked while it held the lock.
@@ -140,6 +141,7 @@
             epoch: watch::Sender::new(0),
             rebuilds: AtomicU64::new(0),
             open_tunnels: AtomicUsize::new(0),
+            load_clocks: Mutex::new(LoadClocks::new(incarnation, Instant::now())),
             cfg,
         });
         node.gateway
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -32,16 +32,9 @@
             read: Arc::new(read),
         }
     };
-    let gauge = |name, help, read: fn(&GatewayNode) -> u64| {
-        let node = Weak::clone(&node);
-        Metric {
-            name,
-            help,
-            is_counter: false,
-            read: Arc::new(move || node.upgrade().map_or(0, |node| read(&node))),
-        }
-    };
-    Metrics::new(vec![
+    let gauge = |name, help, read| new_gauge(&node, name, help, read);
+    let mut metrics = load_metrics(&node);
+    metrics.extend([
         counter("requests", "Requests that reached the caller port", |c| &c.requests),
         counter("served", "Requests answered by a backend server", |c| &c.served),
         counter("refused", "Requests refused as not run", |c| &c.refused),
@@ -112,5 +105,37 @@
         gauge("sharing_vms", "VMs that limits are divided by", |node| {
             u64::from(node.sharing_vms())
         }),
-    ])
+    ]);
+    Metrics::new(metrics)
+}
+
+/// Returns the metrics about loads that servers state.
+fn load_metrics(node: &Weak<GatewayNode>) -> Vec<Metric> {
+    let slow_servers = |node: &GatewayNode| {
+        let now = Instant::now();
+        let live = node.gateway.live();
+        let pools = live.backends.values().map(|backends| &backends.pool);
+        pools.map(|pool| pool.slow_servers(now) as u64).sum()
+    };
+    vec![new_gauge(
+        node,
+        "slow_servers",
+        "Servers that stated a slow moment in the last half second",
+        slow_servers,
+    )]
+}
+
+fn new_gauge(
+    node: &Weak<GatewayNode>,
+    name: &'static str,
+    help: &'static str,
+    read: fn(&GatewayNode) -> u64,
+) -> Metric {
+    let node = Weak::clone(node);
+    Metric {
+        name,
+        help,
+        is_counter: false,
+        read: Arc::new(move || node.upgrade().map_or(0, |node| read(&node))),
+    }
 }
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -7,7 +7,7 @@
 use mh_edge::{ANY_IDLE_TIME, Connection, ResponseBody, Upload, strip_hop_by_hop};
 use mh_limit::Stated;
 use mh_route::Outcome;
-use mh_route::objects::Placement;
+use mh_route::objects::{Placement, ServerLoad};
 use mh_shift::{CanaryFault, CanarySample};
 use mh_types::{Code, Event, Run, emit};
 use tokio::time::Instant;
@@ -330,8 +330,8 @@
     sent_at: Instant,
 ) {
     let load = headers.get(&cx.headers.server_load).and_then(|v| v.to_str().ok());
-    if let Some(load) = load.and_then(parse_load) {
-        placement.reported(Instant::now(), load);
+    if let Some(load) = load.and_then(ServerLoad::parse) {
+        placement.reported_load(Instant::now(), &load);
     }
     if let Some(stated) = stated_limit(cx, kind, headers) {
         cx.limits.on_answer(placement, sent_at, stated);
@@ -350,12 +350,6 @@
     }
 }
 
-/// Returns the sum of running and waiting requests from `running,waiting,slots`.
-fn parse_load(text: &str) -> Option<u32> {
-    let mut parts = text.split(',').map(|part| part.trim().parse::<u32>().ok());
-    Some(parts.next()?? + parts.next()??)
-}
-
 /// Logs a failed attempt and reports its outcome to the pool and, if the request may have run, to the canary.
 fn end_attempt(cx: &RequestContext, placement: Placement, outcome: Outcome, failure: Failure) -> Failure {
     emit!(
--- a/crates/mh_gateway/tests/unit/datagram.rs
+++ b/crates/mh_gateway/tests/unit/datagram.rs
@@ -32,3 +32,45 @@
 
     assert_eq!(error, format!("message version {} is not supported", WIRE_VERSION + 1));
 }
+
+/// Guards against a report that no longer fits one packet, or that costs much more than `Loads` for each server.
+#[test]
+fn a_full_report_of_stated_loads_fits_one_packet() {
+    let loads = (0..40).map(|n| StatedLoad {
+        server: format!("server-{n:02}").as_str().into(),
+        total: 12,
+        age_10ms: 40,
+        speed_10: 25,
+    });
+    let stated = StatedLoads {
+        run: 1_790_000_000_000_000,
+        sent_ms: 86_400_000,
+        loads: loads.collect(),
+    };
+    let plain = stated.loads.iter().map(|load| (load.server.clone(), load.total));
+    let plain = encode(&"vm-1".into(), &Datagram::Loads(plain.collect())).expect("the message encodes");
+
+    let bytes = encode(&"vm-1".into(), &Datagram::StatedLoads(stated)).expect("the message encodes");
+
+    assert!(bytes.len() <= 1_200, "{}", bytes.len());
+    assert!(
+        bytes.len() <= plain.len() + 40 * 2 + 16,
+        "{} {}",
+        bytes.len(),
+        plain.len()
+    );
+}
+
+/// Guards against a change of the messages that earlier versions decode: their numbers are part of the format.
+#[test]
+fn the_new_message_is_appended_at_the_end() {
+    let loads = postcard::to_stdvec(&Datagram::Loads(vec![("s1".into(), 3)])).expect("the message encodes");
+    let stated = postcard::to_stdvec(&Datagram::StatedLoads(StatedLoads {
+        run: 1,
+        sent_ms: 1,
+        loads: Vec::new(),
+    }));
+
+    assert_eq!(loads, [3, 1, 2, b's', b'1', 3]);
+    assert_eq!(stated.expect("the message encodes")[0], 12);
+}
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -1,5 +1,6 @@
 //! Messages with contents that no correct VM sends.
 
+use crate::control::datagram::{StatedLoad, StatedLoads};
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
@@ -301,7 +302,17 @@
     out.extend([
         reader_report(number, time, None),
         Datagram::NoNews,
-        Datagram::Loads(vec![(server, number as u32)]),
+        Datagram::Loads(vec![(server.clone(), number as u32)]),
+        Datagram::StatedLoads(StatedLoads {
+            run: number,
+            sent_ms: number,
+            loads: vec![StatedLoad {
+                server,
+                total: number as u32,
+                age_10ms: number as u32,
+                speed_10: number as u32,
+            }],
+        }),
         Datagram::Lend(lend.into()),
         Datagram::Take {
             number,
--- a/crates/mh_route/src/objects/mod.rs
+++ b/crates/mh_route/src/objects/mod.rs
@@ -37,8 +37,10 @@
 //! placement.done(now, Outcome::Answered { status: 200, latency: Duration::from_millis(90) });
 //! ```
 
+mod atomic_f64;
 mod cold_rate_limiter;
 mod listed_server;
+mod newest_load;
 mod object_request;
 mod placement;
 mod placement_error;
@@ -46,6 +48,8 @@
 mod recent_objects;
 mod region_distribution;
 mod rendezvous;
+mod report_clocks;
+mod server_load;
 mod server_stats;
 mod server_view;
 mod work_times;
@@ -56,5 +60,7 @@
 pub use placement_error::PlacementError;
 pub use pool::ObjectPool;
 pub use region_distribution::RegionDistribution;
-pub use server_view::ObjectServerView;
+pub use report_clocks::ReportClocks;
+pub use server_load::{AgedLoad, ServerLoad};
+pub use server_view::{ObjectServerView, StatedLoadView};
 pub use work_times::WorkTimes;
--- a/crates/mh_route/src/objects/placement.rs
+++ b/crates/mh_route/src/objects/placement.rs
@@ -1,11 +1,11 @@
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::WorkTimes;
 use super::server_stats::ObjectServerStats;
+use super::{ServerLoad, WorkTimes};
 use crate::clock::{Clock, Micros, micros};
 use crate::{Outcome, ServerSpec};
 
@@ -23,6 +23,10 @@
     pub(crate) cold: bool,
     pub(crate) wait_us: u64,
     pub(crate) work_us: u64,
+    /// Factor of the server's stated speed when the request was placed, if known.
+    pub(crate) speed_at_start: Option<f64>,
+    /// Speed in percent that the server stated in its answer; 0 for none.
+    pub(crate) speed_at_answer: AtomicU32,
 }
 
 impl Placement {
@@ -56,8 +60,23 @@
         self.stats.on_round_trip(micros(took));
     }
 
-    /// Records the number of running and queued requests that the server reported.
+    /// Records the number of running and queued requests of a server that states nothing else.
     pub fn reported(&self, now: Instant, load: u32) {
+        self.reported_load(
+            now,
+            &ServerLoad {
+                running: load,
+                waiting: 0,
+                slots: None,
+                speed: None,
+            },
+        );
+    }
+
+    /// Records the load that the server stated in its answer.
+    pub fn reported_load(&self, now: Instant, load: &ServerLoad) {
+        self.speed_at_answer
+            .store(load.speed.unwrap_or_default(), Ordering::Relaxed);
         self.stats.on_direct_report(self.clock.micros(now), load);
     }
 
@@ -83,15 +102,31 @@
             .saturating_sub(self.wait_us + self.stats.round_trip_us())
             .max(1);
         let expected_us = self.work_times.expected_us(self.holds_object);
-        self.stats
-            .on_answer(at, is_error, observed_us as f64, expected_us as f64);
+        let work_us = self.usual_work_us(observed_us, expected_us);
+        self.stats.on_answer(at, is_error, work_us as f64, expected_us as f64);
         if !is_error {
-            self.work_times.observe(self.holds_object, observed_us);
+            self.work_times.observe(self.holds_object, work_us);
             if let Some(object) = self.object {
                 self.stats.recent_objects.record(object, at);
             }
         }
     }
+
+    /// Time that the work would have taken at the usual speed.
+    ///
+    /// Speeds known at the start and at the answer give a range; the value closest to the expected time is the one that
+    /// attributes least to the server itself.
+    fn usual_work_us(&self, observed_us: u64, expected_us: u64) -> u64 {
+        let at_answer = self.speed_at_answer.load(Ordering::Relaxed);
+        let at_answer = (at_answer > 0).then(|| f64::from(at_answer) / 100.0);
+        if at_answer.is_none() && self.speed_at_start.is_none() {
+            return observed_us;
+        }
+        let (start, answer) = (self.speed_at_start.unwrap_or(1.0), at_answer.unwrap_or(1.0));
+        let shortest = observed_us as f64 / start.max(answer);
+        let longest = observed_us as f64 / start.min(answer);
+        (expected_us as f64).clamp(shortest, longest).max(1.0) as u64
+    }
 }
 
 impl Drop for Placement {
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -9,7 +9,10 @@
 
 use super::rendezvous::{score, weight};
 use super::server_stats::ObjectServerStats;
-use super::{ListedServer, ObjectRequest, ObjectServerView, Placement, PlacementError, RegionDistribution};
+use super::{
+    AgedLoad, ListedServer, ObjectRequest, ObjectServerView, Placement, PlacementError, RegionDistribution,
+    StatedLoadView,
+};
 use crate::ServerSpec;
 use crate::clock::{Clock, Micros, micros};
 use mh_types::ServerName;
@@ -187,6 +190,8 @@
             cold: server.stats.cold_limiter.is_cold(at),
             wait_us: forecast.wait_us,
             work_us: forecast.work_us,
+            speed_at_start: server.stats.newest.known_speed(at.saturating_add(forecast.wait_us)),
+            speed_at_answer: AtomicU32::new(0),
         }
     }
 
@@ -265,17 +270,22 @@
         let holds = stats.recent_objects.holds(object, at) || is_first_choice;
         let holds_object = request.object.is_some() && holds;
         let slowness = stats.slowness(at);
+        let speed = stats.newest.speed_factor(at);
         let work = request.work_times.expected_us(holds_object) as f64 * slowness;
         let work_with_object = request.work_times.expected_us(true) as f64 * slowness;
         let slots = f64::from(server.spec.slots.max(1));
         let in_flight = f64::from(load(&stats.in_flight)) + stats.others(at);
         // A request waits until the requests ahead of it leave a slot free.
-        let wait = (in_flight + 1.0 - slots).max(0.0) / slots * work_with_object;
+        let wait = (in_flight + 1.0 - slots).max(0.0) / slots * work_with_object * speed;
+        // The work begins after the wait, which may outlast a slow moment.
+        let speed_at_start = stats.newest.speed_factor(at.saturating_add(wait as Micros));
+        let work = work * speed_at_start;
         let round_trip = stats.round_trip_us() as f64;
         // Unlike the wait, the work time is uncertain until enough responses of the route were measured. A request is
         // therefore refused only if even a server that holds the object would answer too late.
         let finish = wait + work_with_object / slowness.max(1.0) + round_trip;
-        let cost_work = work_with_object + (work - work_with_object) * MISS_COST_FACTOR;
+        let work_with_object_at_start = work_with_object * speed_at_start;
+        let cost_work = work_with_object_at_start + (work - work_with_object_at_start) * MISS_COST_FACTOR;
         // The weight breaks ties between idle servers, so that VMs agree on the second choice as well.
         let tie = (weight >> 40) as f64 / f64::from(1 << 24);
         let cost = (wait + cost_work + round_trip) * (1.0 + ERROR_COST_FACTOR * stats.error_rate(at))
@@ -298,6 +308,24 @@
         reports.filter_map(|server| Some((&server.spec.name, server.stats.take_report()?)))
     }
 
+    /// Takes the loads of servers that state their speed, reported to this VM since the last call, to be sent to other
+    /// VMs.
+    pub fn take_aged_loads(&self, now: Instant) -> impl Iterator<Item = (&ServerName, AgedLoad)> {
+        let at = self.clock.micros(now);
+        let servers = self.servers.iter();
+        servers.filter_map(move |server| Some((&server.spec.name, server.stats.take_aged_load(at)?)))
+    }
+
+    /// Records the load that a server with a stated speed reported to another VM, unless a newer one is known; returns
+    /// `false` if the server is not in the pool.
+    pub fn on_aged_load(&self, now: Instant, name: &ServerName, load: AgedLoad) -> bool {
+        let index = self.index_by_name.get(name);
+        if let Some(index) = index {
+            self.servers[*index].stats.on_aged_load(self.clock.micros(now), load);
+        }
+        index.is_some()
+    }
+
     /// Records the load that a server reported to another VM; returns `false` if the server is not in the pool.
     pub fn on_report(&self, now: Instant, name: &ServerName, load: u32) -> bool {
         let index = self.index_by_name.get(name);
@@ -333,6 +361,13 @@
         accepting.map(|server| server.spec.slots).fold(0, u32::saturating_add)
     }
 
+    /// Number of servers that stated a slow moment within the time for which a speed counts.
+    pub fn slow_servers(&self, now: Instant) -> usize {
+        let at = self.clock.micros(now);
+        let factors = self.servers.iter().map(|server| server.stats.newest.speed_factor(at));
+        factors.filter(|factor| *factor > 1.0).count()
+    }
+
     /// State of every server, for the state dump.
     pub fn view(&self, now: Instant) -> Vec<ObjectServerView> {
         let at = self.clock.micros(now);
@@ -348,6 +383,11 @@
                 others: server.stats.others(at),
                 error_rate: server.stats.error_rate(at),
                 slowness: server.stats.slowness(at),
+                stated: server.stats.newest.get().map(|entry| StatedLoadView {
+                    others: entry.requests,
+                    speed: entry.speed,
+                    age_ms: entry.age_us(at) / 1000,
+                }),
             })
             .collect()
     }
--- a/crates/mh_route/src/objects/server_stats.rs
+++ b/crates/mh_route/src/objects/server_stats.rs
@@ -1,7 +1,10 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
+use super::atomic_f64::AtomicF64;
 use super::cold_rate_limiter::ColdRateLimiter;
+use super::newest_load::{LoadEntry, NewestLoad};
 use super::recent_objects::RecentObjects;
+use super::{AgedLoad, ServerLoad};
 use crate::clock::Micros;
 
 /// Time without requests after the first failure, in microseconds; each further failure doubles it.
@@ -25,27 +28,12 @@
 /// Weight of a new report in the moving average of the load from other VMs.
 const REPORT_WEIGHT: f64 = 0.4;
 
+/// Age of a report of another VM that states none: the interval between two reports, in microseconds.
+const UNSTATED_AGE_US: Micros = 400_000;
+
 /// Value of `report` if there is none.
 const NO_REPORT: u32 = u32::MAX;
 
-/// An `f64` with atomic loads and stores.
-#[derive(Debug)]
-struct AtomicF64(AtomicU64);
-
-impl AtomicF64 {
-    fn new(value: f64) -> Self {
-        Self(AtomicU64::new(value.to_bits()))
-    }
-
-    fn get(&self) -> f64 {
-        f64::from_bits(self.0.load(Ordering::Relaxed))
-    }
-
-    fn set(&self, value: f64) {
-        self.0.store(value.to_bits(), Ordering::Relaxed);
-    }
-}
-
 /// Measurements and load reports of one server.
 #[derive(Debug)]
 pub(crate) struct ObjectServerStats {
@@ -63,6 +51,10 @@
     last_observed_at: AtomicU64,
     /// Latest load that the server reported to this VM, until it is taken to be sent to other VMs.
     report: AtomicU32,
+    /// Newest load of a server that states its speed, without the requests of this VM.
+    pub(crate) newest: NewestLoad,
+    /// Latest load of a server that states its speed, until it is taken to be sent to other VMs.
+    unsent: NewestLoad,
 }
 
 impl ObjectServerStats {
@@ -80,6 +72,8 @@
             round_trip_us: AtomicU64::new(0),
             last_observed_at: AtomicU64::new(0),
             report: AtomicU32::new(NO_REPORT),
+            newest: NewestLoad::default(),
+            unsent: NewestLoad::default(),
         }
     }
 
@@ -127,22 +121,62 @@
         self.last_observed_at.store(now, Ordering::Relaxed);
     }
 
-    /// Records the number of running and queued requests that the server reported to this VM.
-    pub(crate) fn on_direct_report(&self, now: Micros, total: u32) {
-        self.report.store(total, Ordering::Relaxed);
-        self.on_report(now, total);
+    /// Records the load that the server reported to this VM.
+    pub(crate) fn on_direct_report(&self, now: Micros, load: &ServerLoad) {
+        let total = load.total();
+        if load.speed.is_none() && self.newest.get().is_none() {
+            self.report.store(total, Ordering::Relaxed);
+            self.average(now, total);
+        } else {
+            self.unsent.set(LoadEntry::new(now, total, load.speed));
+            self.newest
+                .set(LoadEntry::new(now, self.without_own(total), load.speed));
+        }
     }
 
-    /// Takes the latest load that the server reported to this VM.
+    /// Takes the latest load that a server without a stated speed reported to this VM.
     pub(crate) fn take_report(&self) -> Option<u32> {
         let total = self.report.swap(NO_REPORT, Ordering::Relaxed);
         (total != NO_REPORT).then_some(total)
     }
 
-    /// Records the number of running and queued requests that the server reported to this VM or another one.
+    /// Takes the latest load that a server with a stated speed reported to this VM.
+    pub(crate) fn take_aged_load(&self, now: Micros) -> Option<AgedLoad> {
+        let entry = self.unsent.take()?;
+        Some(AgedLoad {
+            total: entry.requests,
+            speed: Some(entry.speed).filter(|speed| *speed > 0),
+            age_ms: entry.age_us(now) / 1000,
+        })
+    }
+
+    /// Records the number of running and queued requests that the server reported to another VM.
     pub(crate) fn on_report(&self, now: Micros, total: u32) {
-        let own = self.in_flight.load(Ordering::Relaxed);
-        let sample = f64::from(total.saturating_sub(own));
+        if self.newest.get().is_none() {
+            self.average(now, total);
+        } else {
+            let at = now.saturating_sub(UNSTATED_AGE_US);
+            self.newest
+                .set_if_newer(LoadEntry::new(at, self.without_own(total), None));
+        }
+    }
+
+    /// Records the load that the server reported to another VM, unless a newer one is known.
+    pub(crate) fn on_aged_load(&self, now: Micros, load: AgedLoad) {
+        let Some(load) = load.plausible() else { return };
+        let Some(at) = now.checked_sub(load.age_ms.saturating_mul(1000)) else {
+            return;
+        };
+        self.newest
+            .set_if_newer(LoadEntry::new(at, self.without_own(load.total), load.speed));
+    }
+
+    fn without_own(&self, total: u32) -> u32 {
+        total.saturating_sub(self.in_flight.load(Ordering::Relaxed))
+    }
+
+    fn average(&self, now: Micros, total: u32) {
+        let sample = f64::from(self.without_own(total));
         let held = self.others(now);
         self.others.set(held + (sample - held) * REPORT_WEIGHT);
         self.last_observed_at.store(now, Ordering::Relaxed);
@@ -161,7 +195,10 @@
     }
 
     pub(crate) fn others(&self, now: Micros) -> f64 {
-        self.others.get() * self.decay_factor(now)
+        match self.newest.get() {
+            Some(entry) => f64::from(entry.requests) * (-(entry.age_us(now) as f64) / HALF_LIFE_US).exp2(),
+            None => self.others.get() * self.decay_factor(now),
+        }
     }
 
     pub(crate) fn error_rate(&self, now: Micros) -> f64 {
--- a/crates/mh_route/src/objects/server_view.rs
+++ b/crates/mh_route/src/objects/server_view.rs
@@ -22,4 +22,18 @@
     pub error_rate: f64,
     /// Measured work time as a multiple of the expected one.
     pub slowness: f64,
+    /// Newest load of a server that states its speed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stated: Option<StatedLoadView>,
+}
+
+/// Newest load of a server that states its speed, for the state dump.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct StatedLoadView {
+    /// Requests of other VMs there.
+    pub others: u32,
+    /// Duration of work in percent of the usual one; 0 if unknown.
+    pub speed: u32,
+    /// Age of the report in milliseconds.
+    pub age_ms: u64,
 }
