Confirm lists of VMs without a wait where nothing was used

A confirmation of the handover asked for 2.1 s from the last change of the list, also at VMs that had used no slot. After a restart of all 85 VMs each entry that was written began this wait anew at all of them, and requests inside the quota were refused with code 1005 for seconds.

A VM now asks for the time only while it has a loan or still lends slots that it has lost, and is asked again until that has ended. The messages are as before.

--- a/crates/mh_budget/src/budget_holder/mod.rs
+++ b/crates/mh_budget/src/budget_holder/mod.rs
@@ -164,6 +164,11 @@
             .any(|lender| lender.vm == *vm && !lender.share.is_empty())
     }
 
+    /// Whether released slots are still lent.
+    pub fn is_releasing(&self) -> bool {
+        !self.releasing.is_empty()
+    }
+
     /// Share that this VM's meter uses.
     pub fn usable_share(&self) -> Share {
         self.own_share() + self.borrowed_share()
--- a/crates/mh_budget/src/handover.rs
+++ b/crates/mh_budget/src/handover.rs
@@ -43,6 +43,17 @@
     peers: BTreeMap<VmName, Peer>,
 }
 
+/// What a VM may still do, besides the use of the slots that its present list gives it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierUse {
+    /// It has a loan of the VM that it answers.
+    BorrowsFromReceiver,
+    /// It has loans of others, which may have been restarted or have lost the slots, or lends slots that it has lost.
+    Possible,
+    /// Neither.
+    Ended,
+}
+
 /// Number of a stage, in order of their beginning.
 pub type StageNumber = u64;
 
@@ -72,11 +83,17 @@
         self.not_before.is_none_or(|at| now >= at) && self.ready_at.values().all(|at| at.is_some_and(|at| now >= at))
     }
 
+    /// Records when the earlier use of `vm` ends at the latest; each statement is valid, so the earliest one counts.
     fn confirm(&mut self, vm: &VmName, ready_at: Instant) {
         if let Some(held) = self.ready_at.get_mut(vm) {
-            held.get_or_insert(ready_at);
+            *held = Some(held.map_or(ready_at, |held| held.min(ready_at)));
         }
     }
+
+    /// Whether `vm` has not confirmed a list, or what it did by earlier ones has not ended.
+    fn waits_for(&self, vm: &VmName, now: Instant) -> bool {
+        self.ready_at.get(vm).is_some_and(|at| at.is_none_or(|at| now < at))
+    }
 }
 
 impl Handover {
@@ -166,7 +183,8 @@
             }
         }
         let stages = &self.stages;
-        let is_waited_for = |vm: &VmName| stages.iter().any(|stage| stage.ready_at.get(vm) == Some(&None));
+        // A VM that has confirmed a list may have ended its earlier use since.
+        let is_waited_for = |vm: &VmName| stages.iter().any(|stage| stage.waits_for(vm, now));
         let is_due = |peer: &Peer| peer.next_question_at.is_none_or(|at| now >= at);
         let due = self
             .peers
@@ -212,12 +230,13 @@
         self.stages.iter_mut().for_each(|stage| stage.confirm(vm, ready_at));
     }
 
-    /// Returns the message about this VM's list; `borrows` is whether the receiver has lent it something.
-    pub fn msg(&self, now: Instant, borrows: bool, needs_answer: bool) -> HandoverMsg {
-        let held = match self.changed_at {
-            _ if borrows => Duration::ZERO,
-            Some(at) => now.saturating_duration_since(at),
-            None => Duration::MAX,
+    /// Returns the message about this VM's list. A list that changed alone causes no wait: many VMs that are started
+    /// change each other's lists, although none of them has used a slot yet.
+    pub fn msg(&self, now: Instant, earlier_use: EarlierUse, needs_answer: bool) -> HandoverMsg {
+        let held = match (earlier_use, self.changed_at) {
+            (EarlierUse::BorrowsFromReceiver, _) => Duration::ZERO,
+            (EarlierUse::Possible, Some(at)) => now.saturating_duration_since(at),
+            (EarlierUse::Possible | EarlierUse::Ended, _) => Duration::MAX,
         };
         HandoverMsg {
             digest: self.digest.unwrap_or_default(),
--- a/crates/mh_budget/src/handover_msg.rs
+++ b/crates/mh_budget/src/handover_msg.rs
@@ -7,7 +7,8 @@
 pub struct HandoverMsg {
     /// Digest of the list.
     pub digest: u64,
-    /// Time for which the sender has used no slot by another list and no loan of the receiver.
+    /// Time for which the sender has used no slot by another list and no loan of the receiver; the longest possible time if
+    /// nothing of that kind can still be in use.
     pub held: Duration,
     /// Whether the sender waits for the receiver's list.
     pub needs_answer: bool,
--- a/crates/mh_budget/src/lib.rs
+++ b/crates/mh_budget/src/lib.rs
@@ -68,7 +68,7 @@
 pub use decision::Decision;
 pub use division::{Division, MAX_SLOTS_PER_DOMAIN, MIN_SLOT_BURST_TOKENS};
 pub use fair_shares::{Claim, fair_shares};
-pub use handover::{Handover, StageNumber};
+pub use handover::{EarlierUse, Handover, StageNumber};
 pub use handover_msg::HandoverMsg;
 pub use limiter::{Limiter, MAX_PEER_ASKS};
 pub use meter::{Allowance, Meter, MeterWriter, TokenMove, TokenMoveResult};
--- a/crates/mh_budget/tests/handover.rs
+++ b/crates/mh_budget/tests/handover.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mh_budget::{Handover, HandoverMsg, LendingSettings, StageNumber};
+use mh_budget::{EarlierUse, Handover, HandoverMsg, LendingSettings, StageNumber};
 use mh_types::VmName;
 use tokio::time::Instant;
 
@@ -33,9 +33,9 @@
 #[test]
 fn slots_wait_for_the_lists_and_loans_of_others() {
     let now = Instant::now();
-    let fresh = handover(now, "b", &["a", "b"]).msg(now, false, true);
-    let other_list = handover(now, "b", &["b"]).msg(now, false, true);
-    let borrowing = handover(now, "b", &["a", "b"]).msg(now, true, true);
+    let fresh = handover(now, "b", &["a", "b"]).msg(now, EarlierUse::Ended, true);
+    let other_list = handover(now, "b", &["b"]).msg(now, EarlierUse::Ended, true);
+    let borrowing = handover(now, "b", &["a", "b"]).msg(now, EarlierUse::BorrowsFromReceiver, true);
     let settled_after = |msg: &HandoverMsg, time: Duration| {
         let mut handover = handover(now, "a", &["b", "a"]);
         handover.on_tick(now, |_| false);
@@ -98,12 +98,12 @@
 fn later_changes_of_the_list_do_not_delay_earlier_ones() {
     let now = Instant::now();
     let mut handover = handover(now, "a", &["a", "b"]);
-    let confirmed = self::handover(now, "b", &["b", "a"]).msg(now, false, false);
+    let confirmed = self::handover(now, "b", &["b", "a"]).msg(now, EarlierUse::Ended, false);
     handover.on_msg(now, &"b".into(), &confirmed);
 
     let second = handover.set_list(now, &"a".into(), names(&["a", "b", "c"]).iter());
     let third = handover.set_list(now, &"a".into(), names(&["a", "b", "c", "d"]).iter());
-    let later = self::handover(now, "b", &["a", "b", "c", "d"]).msg(now, false, false);
+    let later = self::handover(now, "b", &["a", "b", "c", "d"]).msg(now, EarlierUse::Ended, false);
     handover.on_msg(now, &"b".into(), &later);
 
     assert!(handover.is_settled(STAGE, now));
@@ -115,3 +115,44 @@
     assert!(handover.is_settled(second, now));
     assert!(handover.is_settled(third, now));
 }
+
+/// Guards against slots that wait because the lists of VMs that have used none change, as while many VMs are started; and
+/// against slots that do not wait for loans which a VM has since an earlier list.
+#[test]
+fn a_changed_list_delays_slots_only_after_an_earlier_use() {
+    let now = Instant::now();
+    let mut other = handover(now, "b", &["b"]);
+    other.set_list(now, &"b".into(), names(&["a", "b"]).iter());
+    let settled_after = |earlier_use: EarlierUse, time: Duration| {
+        let mut handover = handover(now, "a", &["a", "b"]);
+        handover.on_tick(now, |_| false);
+        handover.on_msg(now, &"b".into(), &other.msg(now, earlier_use, false));
+        handover.is_settled(STAGE, now + time)
+    };
+
+    assert!(settled_after(EarlierUse::Ended, Duration::ZERO));
+    assert!(!settled_after(EarlierUse::Possible, nearly_wait()));
+    assert!(settled_after(EarlierUse::Possible, wait()));
+}
+
+/// Guards against waiting for the longest time that a loan may last, although it was returned sooner.
+#[test]
+fn a_vm_is_asked_again_until_its_earlier_use_has_ended() {
+    let now = Instant::now();
+    let later = now + SECOND;
+    let mut handover = handover(now, "a", &["a", "b"]);
+    let other = self::handover(now, "b", &["a", "b"]);
+    handover.on_tick(now, |_| false);
+    handover.on_msg(
+        now,
+        &"b".into(),
+        &other.msg(now, EarlierUse::BorrowsFromReceiver, false),
+    );
+
+    let asked = handover.on_tick(later, |_| false);
+    handover.on_msg(later, &"b".into(), &other.msg(later, EarlierUse::Ended, false));
+
+    assert_eq!(asked.to_vec(), names(&["b"]));
+    assert!(handover.is_settled(STAGE, later));
+    assert!(handover.on_tick(later + SECOND, |_| false).is_empty());
+}
--- a/crates/mh_gateway/src/control/quota_controller.rs
+++ b/crates/mh_gateway/src/control/quota_controller.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use mh_budget::{
-    Adoption, Answer, Budget, BudgetHolder, Handover, HandoverMsg, LendingSettings, Limiter, Msg, Outgoing, Owner,
-    Owners, Slots, StageNumber, VmIdentity,
+    Adoption, Answer, Budget, BudgetHolder, EarlierUse, Handover, HandoverMsg, LendingSettings, Limiter, Msg, Outgoing,
+    Owner, Owners, Slots, StageNumber, VmIdentity,
 };
 use mh_types::{OrgName, Revision, VmName};
 use siphasher::sip::SipHasher13;
@@ -180,6 +180,8 @@
         let (kept, lost): (Vec<u16>, Vec<u16>) = share.adopted.iter().partition(|slot| own_slots.contains(*slot));
         if !lost.is_empty() {
             share.holder.release_slots(now, &lost.into_iter().collect());
+            // Slots that are not lent are free for their next owner at once.
+            let _ = share.holder.poll_released(now);
         }
         share.adopted = kept.into_iter().collect();
         for (_, slots) in &mut share.pending {
@@ -284,8 +286,15 @@
 
     /// Returns the message to `to` about the list of VMs from which shares are derived.
     fn handover_msg(&self, to: &VmName, needs_answer: bool, now: Instant) -> HandoverMsg {
-        let borrows = self.shares.values().any(|share| share.holder.borrows_from(to));
-        self.handover.msg(now, borrows, needs_answer)
+        let holders = || self.shares.values().map(|share| &share.holder);
+        let earlier_use = if holders().any(|holder| holder.borrows_from(to)) {
+            EarlierUse::BorrowsFromReceiver
+        } else if holders().any(|holder| holder.is_releasing() || !holder.borrowed_share().is_empty()) {
+            EarlierUse::Possible
+        } else {
+            EarlierUse::Ended
+        };
+        self.handover.msg(now, earlier_use, needs_answer)
     }
 
     /// Handles what another VM says about its list; returns the answer that it needs.
--- a/crates/mh_gateway/tests/unit/quota_simulation.rs
+++ b/crates/mh_gateway/tests/unit/quota_simulation.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use mh_budget::Decision;
 use mh_types::Incarnation;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -181,6 +182,8 @@
     stored: Vec<Owner>,
     vms: Vec<Vm>,
     packets: Vec<(Instant, VmName, VmName, Packet)>,
+    /// Quota in requests per second, and its burst.
+    rate: f64,
     /// Part of the packets that are lost, in percent.
     loss: u32,
     /// Times of the admissions of the last window.
@@ -191,11 +194,15 @@
 
 impl Fleet {
     fn start(count: usize, seed: u64) -> Self {
+        Self::start_with(count, seed, RATE)
+    }
+
+    fn start_with(count: usize, seed: u64, rate: f64) -> Self {
         let now = Instant::now();
         let org = PlanOrg {
             name: "coop".into(),
-            rate_per_s: RATE,
-            burst: RATE,
+            rate_per_s: rate,
+            burst: rate,
             priority: 0,
             regions: Vec::new(),
         };
@@ -207,6 +214,7 @@
             stored: Vec::new(),
             vms: (0..count).map(|n| Vm::new(n, now)).collect(),
             packets: Vec::new(),
+            rate,
             loss: 0,
             admitted: VecDeque::new(),
             worst: 0,
@@ -240,16 +248,71 @@
         let end = self.now + time;
         let mut count = 0;
         while self.now < end {
-            self.now += STEP;
-            self.deliver();
-            for vm in 0..self.vms.len() {
-                self.step(vm);
-            }
+            self.advance();
             count += self.admit();
         }
         count
     }
 
+    /// Runs for `time`, in which requests arrive at random VMs at `load` times the rate of the quota; returns the requests
+    /// and those of them that are refused.
+    fn run_load(&mut self, load: f64, time: Duration) -> (usize, usize) {
+        let end = self.now + time;
+        let (mut count, mut refused) = (0, 0);
+        while self.now < end {
+            self.advance();
+            let is_serving = |vm: &&Vm| vm.state == State::Up && !vm.controller.shares.is_empty();
+            let serving: Vec<VmName> = self
+                .vms
+                .iter()
+                .filter(is_serving)
+                .map(|vm| vm.owner.vm.clone())
+                .collect();
+            let expected = load * self.rate * STEP.as_secs_f64();
+            let requests = expected as usize + usize::from(self.rng.random_bool(expected.fract()));
+            for _ in 0..requests {
+                let Some(vm) = serving.get(self.rng.random_range(0..serving.len().max(1))) else {
+                    break;
+                };
+                count += 1;
+                let is_admitted = self.decide(vm);
+                refused += usize::from(!is_admitted);
+                self.record(usize::from(is_admitted));
+            }
+        }
+        (count, refused)
+    }
+
+    /// Decides about a request as the product does: with the share of the VM, then with those of others.
+    fn decide(&self, vm: &VmName) -> bool {
+        let now = self.now;
+        let limiter = |name: &VmName| {
+            let running = self.vms.iter().find(|vm| vm.owner.vm == *name && vm.is_running())?;
+            running.controller.limiters().get("coop").cloned()
+        };
+        let Some(own) = limiter(vm) else { return false };
+        let mut decision = own.decide(|| now, 1);
+        for asked in 1.. {
+            let Decision::AskPeer(peer) = decision else { break };
+            let answer = limiter(&peer).map(|limiter| limiter.decide_for_peer(|| now, 1));
+            own.on_answer(&peer, answer);
+            if answer.is_some_and(|answer| answer.admitted) {
+                return true;
+            }
+            decision = own.decide_again(|| now, 1, asked);
+        }
+        decision == Decision::Admit
+    }
+
+    /// Goes on by one step, without requests.
+    fn advance(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for vm in 0..self.vms.len() {
+            self.step(vm);
+        }
+    }
+
     fn send(&mut self, from: &VmName, to: VmName, packet: Packet) {
         if !self.rng.random_ratio(self.loss, 100) {
             let delay = Duration::from_millis(self.rng.random_range(1..150));
@@ -375,16 +438,21 @@
                 count += 1;
             }
         }
+        self.record(count);
+        count
+    }
+
+    fn record(&mut self, count: usize) {
+        let now = self.now;
         self.admitted.extend(std::iter::repeat_n(now, count));
         while self.admitted.front().is_some_and(|at| *at + WINDOW <= now) {
             self.admitted.pop_front();
         }
         self.worst = self.worst.max(self.admitted.len());
-        count
     }
 
     fn assert_quota_held(&self, case: &str) {
-        let allowed = (RATE * WINDOW.as_secs_f64() + RATE) * (1.0 + EXCESS) + SLACK;
+        let allowed = (self.rate * WINDOW.as_secs_f64() + self.rate) * (1.0 + EXCESS) + SLACK;
         assert!(
             self.worst as f64 <= allowed,
             "{case}: {} admissions in {WINDOW:?}, {allowed:.1} allowed",
@@ -534,3 +602,79 @@
     assert!(served as f64 >= 0.5 * allowed, "{served} of {allowed:.0} admissions");
     fleet.assert_quota_held("rolling restart");
 }
+
+/// Number of VMs of a large fleet, and its rolling restart: VMs that are stopped at the same time, and the time between two
+/// such groups.
+const LARGE_FLEET: usize = 85;
+const ROLLED_TOGETHER: usize = 4;
+const ROLL_INTERVAL: Duration = Duration::from_millis(1430);
+
+/// Time that a VM of the large fleet is down during the rolling restart, and during the restart of all.
+const ROLL_DOWNTIME: Duration = Duration::from_millis(500);
+const RESTART_DOWNTIME: Duration = Duration::from_millis(1740);
+
+/// When all VMs are killed, after the beginning of the rolling restart.
+const KILLED_AFTER: Duration = Duration::from_millis(4800);
+
+/// Time after a restart of all VMs in which they agree: until the last one knows the list, and two rounds of questions.
+const AGREEMENT_TIME: Duration = Duration::from_millis(MAX_LAG_MS + 1200);
+
+/// Runs a rolling restart of some VMs of a large fleet and then a restart of all; returns the requests, and those of them
+/// that are refused, during the rolling restart and after the VMs had time to agree.
+fn restart_many(fleet: &mut Fleet, load: f64) -> [(usize, usize); 2] {
+    fleet.run_load(load, SECOND * 10);
+    let mut events: Vec<(Duration, Event)> = Vec::new();
+    for vm in 0..ROLLED_TOGETHER * 3 {
+        let at = ROLL_INTERVAL * (vm / ROLLED_TOGETHER) as u32;
+        events.push((at, Event::Stop(vm)));
+        events.push((at + LEAVE_TIME + ROLL_DOWNTIME, Event::Start(vm)));
+    }
+    // The last VMs are still stopped when all are killed.
+    events.retain(|(at, _)| *at < KILLED_AFTER);
+    events.sort_by_key(|(at, _)| *at);
+    events.push((KILLED_AFTER, Event::Kill(0)));
+    let started = fleet.now;
+    let mut rolled = (0, 0);
+    for (at, event) in events {
+        let wait = (started + at).saturating_duration_since(fleet.now);
+        let (count, refused) = fleet.run_load(load, wait);
+        rolled = (rolled.0 + count, rolled.1 + refused);
+        fleet.apply(event);
+    }
+    (0..LARGE_FLEET).for_each(|vm| fleet.apply(Event::Kill(vm)));
+    fleet.run_load(load, RESTART_DOWNTIME);
+    (0..LARGE_FLEET).for_each(|vm| fleet.apply(Event::Start(vm)));
+    fleet.run_load(load, AGREEMENT_TIME);
+    [rolled, fleet.run_load(load, SECOND * 3)]
+}
+
+/// Guards against refusals of requests within the quota while many VMs of a large fleet are stopped and started, and then
+/// all are killed and started again, as slots wait for their new owners.
+#[test]
+fn restarts_of_many_vms_leave_the_quota_usable() {
+    for (rate, seed) in [(29.0, 1), (99.0, 2), (656.0, 3)] {
+        let case = format!("quota of {rate}/s, seed {seed}");
+        let mut fleet = Fleet::start_with(LARGE_FLEET, seed, rate);
+        let [rolled, restarted] = restart_many(&mut fleet, 0.5);
+
+        fleet.assert_quota_held(&case);
+        for (part, (count, refused)) in [("rolling restart", rolled), ("restart of all", restarted)] {
+            assert!(
+                refused * 50 <= count,
+                "{case}, {part}: {refused} of {count} requests refused"
+            );
+        }
+    }
+}
+
+/// Guards against slots with two users after the same restarts, with more requests than the quota allows.
+#[test]
+fn restarts_of_many_vms_keep_the_quota() {
+    for (rate, seed) in [(29.0, 1), (99.0, 2), (656.0, 3)] {
+        let mut fleet = Fleet::start_with(LARGE_FLEET, seed, rate);
+        restart_many(&mut fleet, 3.0);
+        fleet.run_load(3.0, SECOND * 3);
+
+        fleet.assert_quota_held(&format!("quota of {rate}/s, seed {seed}"));
+    }
+}
