Run pipelined idempotent requests concurrently

Requests that a caller sends on an HTTP/1.1 connection before the first response are started when they arrive if they are idempotent with certainty, and answered in order. hyper gets one request at a time, so that its buffer never holds a part of the next one; the requests that were started wait in a queue until hyper has taken the response before them. `Connection: close` and hyper's graceful shutdown are withheld until the last request that was started. Deadlines count from the arrival.

--- a/crates/mh_edge/src/cfg.rs
+++ b/crates/mh_edge/src/cfg.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::PipelineBounds;
+
 /// Limits of the caller port and of backend connections.
 #[derive(Clone, Debug)]
 pub struct EdgeCfg {
@@ -17,6 +19,8 @@
     pub max_replay_bytes: u64,
     /// Maximum number of open caller connections.
     pub max_connections: usize,
+    /// Bounds on the requests that callers pipeline.
+    pub pipelining: PipelineBounds,
     /// Longest wait for a connection to a backend server.
     pub connect_timeout: Duration,
     /// Maximum number of servers tried for one request.
@@ -39,6 +43,7 @@
             max_headers: 100,
             max_replay_bytes: 64 * 1024,
             max_connections: 10_000,
+            pipelining: PipelineBounds::default(),
             connect_timeout: Duration::from_millis(500),
             max_tries: 3,
             lookup_lifetime: Duration::from_secs(5),
--- a/crates/mh_edge/src/edge.rs
+++ b/crates/mh_edge/src/edge.rs
@@ -1,3 +1,4 @@
+mod ahead;
 mod deferrable;
 mod key_check;
 mod operation;
@@ -6,6 +7,7 @@
 use std::sync::{Arc, OnceLock};
 
 use arc_swap::{ArcSwap, Guard};
+use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::http::request::Parts;
@@ -26,7 +28,8 @@
 use crate::request_id::RequestId;
 use crate::response_body::ResponseBody;
 use crate::upload::{UploadProgress, read_body};
-use crate::{BufferBudget, EdgeCfg, LiveState, PoisonGate};
+use crate::{BufferBudget, EdgeCfg, LiveState, PipelineLoad, PoisonGate};
+use ahead::may_start_ahead;
 use key_check::authorise;
 
 /// Request counters since the start of the process.
@@ -54,6 +57,7 @@
     answer_budget: BufferBudget,
     freshness_gate: FreshnessGate,
     poison: Arc<PoisonGate>,
+    pipeline_load: Arc<PipelineLoad>,
     links: OnceLock<Arc<dyn EdgeLinks>>,
 }
 
@@ -79,6 +83,7 @@
         let poison = Arc::new(PoisonGate::new(owner.vm().clone()));
         Self {
             vm: owner.vm().clone(),
+            pipeline_load: Arc::new(PipelineLoad::new(cfg.pipelining)),
             cfg: Arc::new(cfg),
             live: ArcSwap::default(),
             counters: Counters::default(),
@@ -139,10 +144,15 @@
 
     /// Handles one request; errors become problem responses.
     pub async fn handle(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+        self.handle_at(req.map(Some), Instant::now()).await
+    }
+
+    /// Handles one request that arrived at `arrived`; it has no body if it was started before its turn.
+    pub(crate) async fn handle_at(&self, req: Request<Option<Incoming>>, arrived: Instant) -> Response<ResponseBody> {
         let _running = RunningGuard::start(&self.counters.running);
         self.counters.requests.fetch_add(1, Ordering::Relaxed);
         let id = RequestId::random();
-        let mut response = match self.respond(req, &id).await {
+        let mut response = match self.respond(req, &id, arrived).await {
             Ok(response) => response,
             Err(refusal) => {
                 self.counters.refused.fetch_add(1, Ordering::Relaxed);
@@ -159,7 +169,12 @@
         response
     }
 
-    async fn respond(&self, req: Request<Incoming>, id: &RequestId) -> Result<Response<ResponseBody>, Refusal> {
+    async fn respond(
+        &self,
+        req: Request<Option<Incoming>>,
+        id: &RequestId,
+        arrived: Instant,
+    ) -> Result<Response<ResponseBody>, Refusal> {
         let not_run = |code| Refusal::new(code, Run::NotRun);
         let now = Instant::now();
         if req.headers().len() > self.cfg.max_headers || total_bytes(req.headers()) > self.cfg.max_header_bytes {
@@ -190,8 +205,14 @@
                 ..not_run(Code::NotCurrent)
             });
         }
+        let (parts, body) = req.into_parts();
+        let req = Request::from_parts(parts, ());
+        // The route may have changed since the request was started before its turn.
+        if body.is_none() && !may_start_ahead(&route) {
+            return Err(not_run(Code::NotCurrent));
+        }
         let org = authorise(snapshot, &route, &req)?.map(|org| org.name.clone());
-        let deadline = Deadline::read(now, req.headers(), route.deadline)?;
+        let deadline = Deadline::read(arrived, req.headers(), route.deadline)?;
         let forwarder = self
             .build_forwarder(&live, Arc::clone(&route), id.clone(), deadline)
             .map_err(not_run)?;
@@ -199,6 +220,20 @@
             caller: org.clone(),
             ..forwarder
         };
+        let Some(body) = body else {
+            if let Some(org) = &org {
+                self.admit(&live, org).await?;
+            }
+            let parts = req.into_parts().0;
+            let key_checked_at = self.confirm_key(&route, &parts)?;
+            let forwarder = Forwarder {
+                key_checked_at,
+                ..forwarder
+            };
+            let payload = Payload::Buffered(Bytes::new());
+            return forwarder.run(Forwarder::backend_request_head(parts, id), payload).await;
+        };
+        let req = req.map(|()| body);
         if route.deferrable {
             return self.answer_deferrable(&live, forwarder, org, req).await;
         }
--- a/crates/mh_edge/src/lib.rs
+++ b/crates/mh_edge/src/lib.rs
@@ -4,7 +4,7 @@
 //! serves it on a TCP listener. The steps of a request are: route match, key check, rate limit, operation id, choice of
 //! the backend server, forwarding.
 //!
-//! The crate `mh_gateway` has a request pipeline of its own: it uses [`serve_with`], [`ConnectionPool`], [`Upload`] and
+//! The crate `mh_gateway` has a request pipeline of its own: it uses [`serve_pipelined`], [`ConnectionPool`], [`Upload`] and
 //! [`ResponseBody`] of this crate, but not [`Edge`].
 //!
 //! ```
@@ -36,6 +36,7 @@
 mod live_state;
 mod lookup;
 mod operations;
+mod pipeline;
 mod poison_gate;
 mod protocol_timeout_stream;
 mod refusal;
@@ -59,10 +60,11 @@
 pub use live_state::{LiveState, VmChoice};
 pub use lookup::{LOOKUP_PATH, LookupResponse};
 pub use operations::{BoxFuture, EdgeLinks, Operations};
+pub use pipeline::{PipelineBounds, PipelineLoad, Pipelining, StartAhead, may_run_concurrently};
 pub use poison_gate::PoisonGate;
 pub use refusal::{Problem, Refusal};
 pub use response_body::{BodyError, BodyObserver, ResponseBody};
-pub use serve::{CallerPort, PortLimits, serve, serve_with};
+pub use serve::{CallerPort, PortLimits, serve, serve_pipelined, serve_with};
 pub use socket::set_options;
 pub use upload::{Upload, UploadProgress, drain, read_body};
 pub use version_gate::VersionGate;
--- a/crates/mh_edge/src/serve.rs
+++ b/crates/mh_edge/src/serve.rs
@@ -2,21 +2,24 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use mh_types::{Event, emit};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_io_timeout::TimeoutStream;
 
-use crate::caller_stream::{CallerSocket, CallerStream};
+use crate::caller_stream::{CallerSocket, CallerStream, StartedRequest};
+use crate::pipeline::{AnsweredBody, Pipelining};
 use crate::protocol_timeout_stream::ProtocolTimeoutStream;
 use crate::{Edge, EdgeCfg, ResponseBody};
 
@@ -27,6 +30,8 @@
 const ACCEPT_GRACE: Duration = Duration::from_millis(200);
 /// Maximum size of the headers of one request that the HTTP parser accepts, in bytes.
 const PARSER_BUF_BYTES: usize = 64 * 1024;
+/// Value of `Connection` in the last response of a connection.
+const CLOSE: &str = "close";
 /// Maximum open HTTP/2 streams per connection.
 const MAX_STREAMS: u32 = 200;
 
@@ -35,7 +40,8 @@
 pub struct CallerPort {
     addr: SocketAddr,
     stop: oneshot::Sender<()>,
-    task: JoinHandle<GracefulShutdown>,
+    /// Ends with the sender that tells the open connections to shut down.
+    task: JoinHandle<watch::Sender<()>>,
 }
 
 impl CallerPort {
@@ -48,8 +54,9 @@
     /// within `limit`.
     pub async fn shutdown(self, limit: Duration) -> bool {
         let _ = self.stop.send(());
-        let Ok(graceful) = self.task.await else { return false };
-        tokio::time::timeout(limit, graceful.shutdown()).await.is_ok()
+        let Ok(connections) = self.task.await else { return false };
+        connections.send_replace(());
+        tokio::time::timeout(limit, connections.closed()).await.is_ok()
     }
 }
 
@@ -90,17 +97,23 @@
 /// Returns the error of reading the listener's local address.
 pub fn serve(listener: TcpListener, edge: Arc<Edge>) -> std::io::Result<CallerPort> {
     let limits = PortLimits::from(edge.cfg());
-    serve_with(
+    let pipelining = edge.pipelining();
+    serve_pipelined(
         listener,
         move || limits,
-        move |req| {
+        move |req, arrived| {
             let edge = Arc::clone(&edge);
-            async move { edge.handle(req).await }
+            async move {
+                edge.handle_at(req.map(Some), arrived.unwrap_or_else(Instant::now))
+                    .await
+            }
         },
+        Some(pipelining),
     )
 }
 
-/// Serves `handle` on `listener` with HTTP/1.1 and HTTP/2; `limits` is called for each connection.
+/// Serves `handle` on `listener` with HTTP/1.1 and HTTP/2; `limits` is called for each connection. Requests that a caller
+/// pipelines run one after another.
 ///
 /// # Errors
 ///
@@ -110,10 +123,33 @@
     L: Fn() -> PortLimits + Send + 'static,
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    serve_pipelined(listener, limits, move |req, _arrived| handle(req), None)
+}
+
+/// Serves `handle` on `listener` with HTTP/1.1 and HTTP/2; `limits` is called for each connection.
+///
+/// `handle` gets the arrival time of a request that arrived before its turn. With `pipelining`, idempotent requests are
+/// started before their turn.
+///
+/// # Errors
+///
+/// Returns the error of reading the listener's local address.
+pub fn serve_pipelined<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    handle: H,
+    pipelining: Option<Pipelining>,
+) -> std::io::Result<CallerPort>
+where
+    L: Fn() -> PortLimits + Send + 'static,
+    H: Fn(Request<Incoming>, Option<Instant>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let addr = listener.local_addr()?;
     let (stop, stopped) = oneshot::channel();
-    let task = tokio::spawn(accept(listener, limits, handle, stopped));
+    let pipelining = pipelining.filter(|pipelining| pipelining.load.bounds().connection_requests > 1);
+    let task = tokio::spawn(accept(listener, limits, handle, pipelining, stopped));
     Ok(CallerPort { addr, stop, task })
 }
 
@@ -121,14 +157,15 @@
     listener: TcpListener,
     limits: L,
     handle: H,
+    pipelining: Option<Pipelining>,
     stopped: oneshot::Receiver<()>,
-) -> GracefulShutdown
+) -> watch::Sender<()>
 where
     L: Fn() -> PortLimits + Send + 'static,
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, Option<Instant>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
+    let connections = watch::Sender::new(());
     let open = Arc::new(AtomicUsize::new(0));
     let mut end = std::pin::pin!(async {
         // Dropping the `CallerPort` stops it as well.
@@ -138,7 +175,7 @@
     loop {
         let accepted = tokio::select! {
             biased;
-            () = &mut end => return graceful,
+            () = &mut end => return connections,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
@@ -151,7 +188,13 @@
         if open.load(Ordering::Relaxed) > limits.max_connections {
             continue;
         }
-        let connection = graceful.watch(serve_connection(&limits, stream, handle.clone()));
+        let connection = serve_connection(
+            limits,
+            stream,
+            handle.clone(),
+            pipelining.clone(),
+            connections.subscribe(),
+        );
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 emit!(Event::ConnectionFailed, error = e);
@@ -177,13 +220,15 @@
     }
 }
 
-fn serve_connection<H, F>(
-    limits: &PortLimits,
+async fn serve_connection<H, F>(
+    limits: PortLimits,
     stream: TcpStream,
     handle: H,
-) -> impl hyper_util::server::graceful::GracefulConnection<Error = Box<dyn std::error::Error + Send + Sync>> + use<H, F>
+    pipelining: Option<Pipelining>,
+    mut stop: watch::Receiver<()>,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>>
 where
-    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    H: Fn(Request<Incoming>, Option<Instant>) -> F + Send + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let mut builder = Builder::new(TokioExecutor::new());
@@ -201,21 +246,88 @@
         .keep_alive_interval(limits.header_timeout)
         .keep_alive_timeout(limits.header_timeout);
     let _ = stream.set_nodelay(true);
-    let socket = CallerSocket::new(stream);
+    let socket = CallerSocket::new(stream, pipelining);
     let mut stream = TimeoutStream::new(CallerStream(Arc::clone(&socket)));
     stream.set_write_timeout(Some(limits.write_timeout));
     let stream = ProtocolTimeoutStream::new(Box::pin(stream), limits.header_timeout);
-    let service = service_fn(move |req: Request<Incoming>| {
-        let is_http1 = req.version() < Version::HTTP_2;
-        let (answer, socket) = (handle(req), Arc::clone(&socket));
-        async move {
-            tokio::select! {
-                biased;
-                answer = answer => Ok(answer),
-                // Ends the connection and with it the requests that the caller has sent ahead.
-                () = socket.left(), if is_http1 => Err(Error::new(ErrorKind::ConnectionAborted, "the caller has left")),
+    let service = {
+        let socket = Arc::clone(&socket);
+        service_fn(move |req: Request<Incoming>| {
+            let is_http1 = req.version() < Version::HTTP_2;
+            let (arrived, started) = socket.on_taken(&req);
+            let answer = match started {
+                None => Answer::Handled(handle(req, arrived)),
+                Some((head, started)) if head.is_same(&req) => Answer::Started(started),
+                Some(_) => Answer::Unexpected,
+            };
+            let socket = Arc::clone(&socket);
+            async move {
+                tokio::select! {
+                    biased;
+                    answer = answer.response() => Ok(finish(answer?, socket, is_http1)),
+                    // Ends the connection and with it the requests that the caller has sent ahead.
+                    () = socket.left(), if is_http1 => Err(Error::new(ErrorKind::ConnectionAborted, "the caller has left")),
+                }
+            }
+        })
+    };
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service).into_owned());
+    tokio::select! {
+        biased;
+        ended = connection.as_mut() => return ended,
+        // Fails if the port was dropped, which stops it as well.
+        _ = stop.changed() => {}
+    }
+    let mut is_told = false;
+    socket.close();
+    std::future::poll_fn(|cx| {
+        loop {
+            if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
+                return Poll::Ready(ended);
+            }
+            // The library closes after the request that it has taken last. Requests behind it that were started have
+            // reached a server, so they are answered first.
+            if is_told || !socket.is_last() {
+                return Poll::Pending;
             }
+            is_told = true;
+            connection.as_mut().graceful_shutdown();
         }
-    });
-    builder.serve_connection(TokioIo::new(stream), service).into_owned()
+    })
+    .await
+}
+
+/// Response of a request that the HTTP library has taken.
+enum Answer<F> {
+    Handled(F),
+    /// The request was started before its turn.
+    Started(StartedRequest),
+    /// Another request was started in place of this one.
+    Unexpected,
+}
+
+impl<F: Future<Output = Response<ResponseBody>>> Answer<F> {
+    async fn response(self) -> std::io::Result<Response<ResponseBody>> {
+        match self {
+            Self::Handled(answer) => Ok(answer.await),
+            Self::Started(started) => started.response().await,
+            Self::Unexpected => Err(Error::new(ErrorKind::InvalidData, "another request was started")),
+        }
+    }
+}
+
+/// Prepares a response for the HTTP library. `Connection: close` is moved to the last request that was started, as the
+/// caller sends all requests behind it again.
+fn finish(mut answer: Response<ResponseBody>, socket: Arc<CallerSocket>, is_http1: bool) -> Response<AnsweredBody> {
+    if is_http1 {
+        let headers = answer.headers_mut();
+        if headers.get(CONNECTION).is_some_and(|value| value == CLOSE) {
+            if !socket.close() {
+                headers.remove(CONNECTION);
+            }
+        } else if socket.is_last() {
+            headers.insert(CONNECTION, HeaderValue::from_static(CLOSE));
+        }
+    }
+    answer.map(|body| AnsweredBody::new(body, socket))
 }
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! whole when the source reports a change. A request passes these stages: routing, authorisation by key, quota, choice
 //! of the backend server, forwarding, and validation of the answer.
 //!
-//! The caller port, the connections to backend servers and the bodies come from `mh_edge` ([`mh_edge::serve_with`],
+//! The caller port, the connections to backend servers and the bodies come from `mh_edge` ([`mh_edge::serve_pipelined`],
 //! [`mh_edge::ConnectionPool`], [`mh_edge::Upload`], [`mh_edge::ResponseBody`]); its request handler
 //! [`mh_edge::Edge`] is not used.
 //!
@@ -49,7 +49,7 @@
 pub use node::{GatewayNode, StopOutcome, run_until_signal};
 pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, UnreadableParts};
 pub use quota_peers::QuotaPeers;
-pub use request::{Counters, Gateway, LimitGate, ServerPaths};
+pub use request::{Counters, Gateway, LimitGate, ServerPaths, serve_gateway};
 pub use service_backends::ServiceBackends;
 pub use settings::{BoundSettings, GatewayListen, GatewaySettings};
 pub use shift_phase::ShiftPhase;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -116,7 +116,7 @@
             domain: cfg.domain.clone(),
             incarnation,
         };
-        let gateway = Gateway::new(cfg.vm.clone(), headers, bounds);
+        let gateway = Gateway::new(cfg.vm.clone(), headers, bounds).with_pipeline_bounds(cfg.pipelining);
         let buffer_bytes = cfg.memory_mb as usize * 1024 * 1024 / BUFFER_MEMORY_DIVISOR;
         let node = Arc::new(Self {
             gateway: Arc::new(gateway.with_buffer_limit(buffer_bytes)),
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Weak};
 
 use mh_admin::{Metric, Metrics};
+use mh_edge::PipelineLoad;
 
 use super::GatewayNode;
 use crate::Feed;
@@ -41,7 +42,7 @@
             read: Arc::new(move || node.upgrade().map_or(0, |node| read(&node))),
         }
     };
-    Metrics::new(vec![
+    let mut metrics = vec![
         counter("requests", "Requests that reached the caller port", |c| &c.requests),
         counter("served", "Requests answered by a backend server", |c| &c.served),
         counter("refused", "Requests refused as not run", |c| &c.refused),
@@ -112,5 +113,48 @@
         gauge("sharing_vms", "VMs that limits are divided by", |node| {
             u64::from(node.sharing_vms())
         }),
-    ])
+    ];
+    metrics.extend(pipelining_metrics(&node));
+    Metrics::new(metrics)
+}
+
+/// Returns the metrics of pipelined requests.
+fn pipelining_metrics(node: &Weak<GatewayNode>) -> impl Iterator<Item = Metric> {
+    type ReadFn = fn(&PipelineLoad) -> u64;
+    let specs: [(&'static str, &'static str, bool, ReadFn); 4] = [
+        (
+            "pipelined_started",
+            "Pipelined requests that were started before their turn",
+            true,
+            PipelineLoad::started,
+        ),
+        (
+            "pipelined_waited",
+            "Pipelined requests that waited for their turn because of a bound",
+            true,
+            PipelineLoad::waited,
+        ),
+        (
+            "pipelined_ahead",
+            "Pipelined requests that were started and wait for their turn",
+            false,
+            |load| load.requests_ahead() as u64,
+        ),
+        (
+            "pipelined_held_bytes",
+            "Bytes of pipelined requests that are held",
+            false,
+            |load| load.held_bytes() as u64,
+        ),
+    ];
+    specs.into_iter().map(|(name, help, is_counter, read)| {
+        let node = Weak::clone(node);
+        let read = move || node.upgrade().map_or(0, |node| read(node.gateway.pipeline_load()));
+        Metric {
+            name,
+            help,
+            is_counter,
+            read: Arc::new(read),
+        }
+    })
 }
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -8,7 +8,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mh_edge::{CallerPort, PortLimits, serve_with, set_options};
+use mh_edge::{CallerPort, PortLimits, set_options};
 use mh_platform::BoxFuture;
 use mh_types::{Event, RegionName, emit};
 use tokio::net::TcpListener;
@@ -18,7 +18,7 @@
 use super::state_dump::state_dump;
 use super::tunnel_port::handle_connect;
 use crate::control::{CHANGES_PATH, parse_changes_query};
-use crate::request::count_lookup;
+use crate::request::{count_lookup, serve_gateway};
 
 /// Maximum number of VMs in the answer of a look-up.
 const MAX_LOOKUP_VMS: usize = 64;
@@ -59,10 +59,7 @@
             }
         }
     };
-    serve_with(listener, limits, move |req| {
-        let gateway = Arc::clone(&gateway);
-        async move { gateway.handle(req).await }
-    })
+    serve_gateway(listener, limits, gateway)
 }
 
 /// Serves readiness checks, metrics and the state dump.
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -55,6 +55,7 @@
         "listed_vms": lock(&node.deployment).vms().count(),
         "sharing_vms": node.sharing_vms(),
         "held_bytes": node.gateway.held_bytes(),
+        "pipelining": node.gateway.pipeline_load().view(),
         "feeds": Feed::ALL.map(|feed| node.relay.feed_state(feed, now)),
         "services": services,
         "shifts": shifts.collect::<Vec<_>>(),
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod body;
 mod buffered_answer;
+mod caller_port;
 mod counters;
 mod exchange;
 mod forward;
@@ -16,6 +17,7 @@
 mod tunnel_client;
 mod tunnel_stream;
 
+pub use caller_port::serve_gateway;
 pub use counters::Counters;
 pub(crate) use counters::{count_lookup, increment};
 pub use gateway::Gateway;
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -5,11 +5,15 @@
 
 use arc_swap::{ArcSwap, Guard};
 use arcstr::ArcStr;
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Method, Request, Response};
-use mh_edge::{PoisonGate, Refusal, ResponseBody, admit_request, drain, total_bytes};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use mh_edge::{
+    PipelineBounds, PipelineLoad, PoisonGate, Refusal, ResponseBody, admit_request, drain, may_run_concurrently,
+    total_bytes,
+};
 use mh_poison::Fingerprint;
 use mh_types::{Code, Event, Run, VmName, emit};
 use siphasher::sip::SipHasher13;
@@ -54,6 +58,7 @@
     limits: Arc<LimitGate>,
     poison: Arc<PoisonGate>,
     paths: Arc<ServerPaths>,
+    pipeline_load: Arc<PipelineLoad>,
 }
 
 impl Gateway {
@@ -68,6 +73,7 @@
             limits: Arc::new(LimitGate::new(vm.clone())),
             poison,
             paths,
+            pipeline_load: Arc::default(),
             vm,
             headers: Arc::new(headers),
             bounds: ArcSwap::from_pointee(bounds),
@@ -89,6 +95,20 @@
         }
     }
 
+    /// Sets the bounds on the requests that callers pipeline.
+    #[must_use]
+    pub fn with_pipeline_bounds(self, bounds: PipelineBounds) -> Self {
+        Self {
+            pipeline_load: Arc::new(PipelineLoad::new(bounds)),
+            ..self
+        }
+    }
+
+    /// Returns the pipelined requests of all connections.
+    pub fn pipeline_load(&self) -> &Arc<PipelineLoad> {
+        &self.pipeline_load
+    }
+
     /// Returns the bytes reserved for buffered request and answer bodies.
     pub fn held_bytes(&self) -> usize {
         self.buffer_budget.reserved_bytes()
@@ -164,9 +184,13 @@
 
     /// Answers one request.
     pub async fn handle(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+        self.handle_at(req.map(Some), Instant::now()).await
+    }
+
+    /// Answers one request that arrived at `arrived`; it has no body if it was started before its turn.
+    pub(crate) async fn handle_at(&self, req: Request<Option<Incoming>>, arrived: Instant) -> Response<ResponseBody> {
         let _running = RunningGuard::start(&self.counters.running);
         increment(&self.counters.requests);
-        let arrived = Instant::now();
         let id_header = req.headers().get(&self.headers.request_id).cloned();
         let id_header = id_header.unwrap_or_else(random_request_id);
         let id = ArcStr::from(id_header.to_str().unwrap_or("unreadable"));
@@ -188,6 +212,20 @@
         answer
     }
 
+    /// Returns whether a request is known to be idempotent, so that it may run before the requests ahead of it on its
+    /// connection are answered. None may while the VM is shutting down, as the connection closes.
+    pub(super) fn may_start_ahead(&self, method: &Method, uri: &Uri, host: Option<&HeaderValue>) -> bool {
+        if !may_run_concurrently(method) || self.is_leaving() || self.closed.load(Ordering::Acquire) {
+            return false;
+        }
+        let live = self.live.load();
+        let Some(plan) = live.plan.as_ref().filter(|_| live.ready) else {
+            return false;
+        };
+        let route = requested_host(host, uri.host()).and_then(|host| plan.route(&host, uri.path()));
+        route.is_some_and(|route| route.kind.may_repeat() && !route.targets.is_empty())
+    }
+
     fn refuse(&self, refusal: Refusal, id: &str, id_header: &HeaderValue, arrived: Instant) -> Response<ResponseBody> {
         let (counter, event) = match refusal.run {
             Run::NotRun => (&self.counters.refused, Event::RequestTurnedAway),
@@ -221,27 +259,34 @@
 
     async fn answer(
         &self,
-        req: Request<Incoming>,
+        req: Request<Option<Incoming>>,
         id: &ArcStr,
         id_header: &HeaderValue,
         arrived: Instant,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let (parts, incoming) = req.into_parts();
-        let mut cx = match self.prepare(&parts, (id, id_header), arrived).await {
+        let mut cx = match self.prepare(&parts, (id, id_header), arrived, incoming.is_none()).await {
             Ok(cx) => cx,
             Err(refusal) => {
-                drain(incoming);
+                if let Some(incoming) = incoming {
+                    drain(incoming);
+                }
                 return Err(refusal);
             }
         };
-        let mut body = Body::read(
-            incoming,
-            cx.route.kind,
-            cx.max_body_bytes,
-            &self.buffer_budget,
-            cx.answer_by(),
-        )
-        .await?;
+        let mut body = match incoming {
+            None => Body::Buffered(Bytes::new()),
+            Some(incoming) => {
+                Body::read(
+                    incoming,
+                    cx.route.kind,
+                    cx.max_body_bytes,
+                    &self.buffer_budget,
+                    cx.answer_by(),
+                )
+                .await?
+            }
+        };
         cx.fingerprint = fingerprint(&cx, &parts, &body);
         if let Some(Err(quarantined)) = cx.fingerprint.map(|fingerprint| self.poison.admit(&fingerprint)) {
             return Err(refusal_with_retry_after(
@@ -268,6 +313,7 @@
         parts: &Parts,
         id: (&ArcStr, &HeaderValue),
         arrived: Instant,
+        is_ahead: bool,
     ) -> Result<RequestContext, Refusal> {
         if self.closed.load(Ordering::Acquire) {
             return Err(refusal_with_retry_after(Code::Leaving, LEAVING_RETRY_AFTER));
@@ -282,8 +328,13 @@
         if parts.method == Method::CONNECT {
             return Err(not_run(Code::RequestInvalid));
         }
-        let host = requested_host(&parts.headers, parts.uri.host()).ok_or_else(|| not_run(Code::RequestInvalid))?;
+        let host = requested_host(parts.headers.get(HOST), parts.uri.host());
+        let host = host.ok_or_else(|| not_run(Code::RequestInvalid))?;
         let route = Arc::clone(find_route(plan, &host, parts.uri.path())?);
+        // The route may have changed since the request was started before its turn.
+        if is_ahead && !route.kind.may_repeat() {
+            return Err(refusal_with_retry_after(Code::NotCurrent, NOT_READY_RETRY_AFTER));
+        }
         let org = authorise(plan, &route, &parts.headers, &self.headers)?;
         let deadline = caller_deadline(&parts.headers, &self.headers, arrived, &route)?;
         let mut cx = self.build_context(&live, plan, route, org, id, arrived)?;
@@ -404,8 +455,8 @@
 }
 
 /// Returns the requested host in lower case, without the port.
-fn requested_host(headers: &HeaderMap, uri_host: Option<&str>) -> Option<String> {
-    let header = headers.get(HOST).and_then(|value| value.to_str().ok());
+fn requested_host(header: Option<&HeaderValue>, uri_host: Option<&str>) -> Option<String> {
+    let header = header.and_then(|value| value.to_str().ok());
     let host = uri_host.or(header)?;
     let name = host.split_once(':').map_or(host, |(name, _)| name);
     (!name.is_empty()).then(|| name.to_ascii_lowercase())
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mh_edge::PipelineBounds;
 use mh_types::{DomainName, RegionName, VmName};
 use serde::Deserialize;
 
@@ -35,6 +36,9 @@
     /// Bounds over the whole fleet; missing ones have the default values.
     #[serde(default)]
     pub promises: BoundSettings,
+    /// Bounds on the requests that callers pipeline.
+    #[serde(default)]
+    pub pipelining: PipelineBounds,
     /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
     #[serde(default = "default_log_level")]
     pub log: log::LevelFilter,
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -153,6 +153,7 @@
         memory_mb: 128,
         first_start: false,
         descriptors: 256,
+        pipelining: mh_edge::PipelineBounds::default(),
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
         promises: BoundSettings::default(),
         log: log::LevelFilter::Off,
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -182,6 +182,7 @@
             memory_mb: 128,
             first_start: false,
             descriptors: 256,
+            pipelining: mh_edge::PipelineBounds::default(),
             regions: BTreeMap::from([("a".into(), "north".into())]),
             promises: BoundSettings::default(),
             log: log::LevelFilter::Off,
--- a/crates/mh_node/src/admin.rs
+++ b/crates/mh_node/src/admin.rs
@@ -26,7 +26,7 @@
 
 fn build_metrics(node: &Arc<Node>) -> Vec<Metric> {
     type ReadFn = fn(&Node) -> u64;
-    let specs: [(&'static str, &'static str, bool, ReadFn); 6] = [
+    let specs: [(&'static str, &'static str, bool, ReadFn); 10] = [
         ("mangohook_requests", "Requests at the caller port", true, |n| {
             n.edge.counters().requests.load(Ordering::Relaxed)
         }),
@@ -39,6 +39,30 @@
         ("mangohook_running", "Requests running now", false, |n| {
             n.edge.counters().running.load(Ordering::Relaxed)
         }),
+        (
+            "mangohook_pipelined_started",
+            "Pipelined requests that were started before their turn",
+            true,
+            |n| n.edge.pipeline_load().started(),
+        ),
+        (
+            "mangohook_pipelined_waited",
+            "Pipelined requests that waited for their turn because of a bound",
+            true,
+            |n| n.edge.pipeline_load().waited(),
+        ),
+        (
+            "mangohook_pipelined_ahead",
+            "Pipelined requests that were started and wait for their turn",
+            false,
+            |n| n.edge.pipeline_load().requests_ahead() as u64,
+        ),
+        (
+            "mangohook_pipelined_held_bytes",
+            "Bytes of pipelined requests that are held",
+            false,
+            |n| n.edge.pipeline_load().held_bytes() as u64,
+        ),
         (
             "mangohook_settings_revision",
             "Settings revision in force",
@@ -147,6 +171,7 @@
         let operations = node.edge.operations().usage();
         json!({
             "status": self.status(),
+            "pipelining": node.edge.pipeline_load().view(),
             "requests": {
                 "total": counters.requests.load(Ordering::Relaxed),
                 "lookups": counters.lookups.load(Ordering::Relaxed),
--- a/crates/mh_node/src/limit_settings.rs
+++ b/crates/mh_node/src/limit_settings.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use mh_config::Problem;
-use mh_edge::EdgeCfg;
+use mh_edge::{EdgeCfg, PipelineBounds};
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
@@ -29,6 +29,8 @@
     pub connect_timeout_ms: Spanned<u64>,
     /// Maximum number of attempts for an idempotent request, each at a different server.
     pub max_tries: Spanned<u32>,
+    /// Bounds on the requests that callers pipeline.
+    pub pipelining: PipelineBounds,
 }
 
 impl Default for LimitSettings {
@@ -45,6 +47,7 @@
             max_connections: spanned(cfg.max_connections),
             connect_timeout_ms: ms(cfg.connect_timeout),
             max_tries: spanned(cfg.max_tries),
+            pipelining: cfg.pipelining,
         }
     }
 }
@@ -108,6 +111,7 @@
             max_connections: self.max_connections.value,
             connect_timeout: ms(&self.connect_timeout_ms),
             max_tries: self.max_tries.value,
+            pipelining: self.pipelining,
             ..EdgeCfg::default()
         }
     }
