Begin the limit of a response head anew with each request

The timer of a head that arrived in one read with its body kept running after the response. If the connection to the server was reused before a read without a limit, the next response had to begin within what was left of it, at most 500 ms; otherwise the connection was closed and the request sent to another server, or the caller got 502.

--- a/crates/mh_edge/src/head_limited_stream.rs
+++ b/crates/mh_edge/src/head_limited_stream.rs
@@ -26,12 +26,15 @@
 pub(crate) struct HeadLimit {
     /// Longest time from the first byte of a head to its end, in milliseconds; zero while no head is expected.
     limit_ms: AtomicU64,
+    /// Number of times that the limit was enabled.
+    requests: AtomicU64,
 }
 
 impl HeadLimit {
     /// Enables the limit before a request is sent.
     pub(crate) fn arm(&self, limit: Duration) {
         let ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        self.requests.fetch_add(1, Ordering::Release);
         self.limit_ms.store(ms.max(1), Ordering::Release);
     }
 
@@ -54,6 +57,8 @@
 pub(crate) struct HeadLimitedStream<S> {
     stream: S,
     head_limit: Arc<HeadLimit>,
+    /// Request, as a value of [`HeadLimit::requests`], whose response is being tracked.
+    request: u64,
     /// Bytes read since the limit was enabled.
     bytes_read: usize,
     /// Heads that ended since the limit was enabled.
@@ -69,6 +74,7 @@
         Self {
             stream,
             head_limit,
+            request: 0,
             bytes_read: 0,
             heads_ended: 0,
             matched: 0,
@@ -117,6 +123,13 @@
             self.reset();
             return read;
         };
+        // The connection may be reused without a read in between. The timer of the last response's head, which still runs
+        // if the body arrived with the head, would then limit the wait for this response.
+        let request = self.head_limit.requests.load(Ordering::Acquire);
+        if request != self.request {
+            self.reset();
+            self.request = request;
+        }
         match read {
             Poll::Ready(Ok(())) => Poll::Ready(self.track(&buf.filled()[before..], limit)),
             Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
--- a/crates/mh_gateway/tests/pipelining.rs
+++ b/crates/mh_gateway/tests/pipelining.rs
@@ -117,3 +117,20 @@
     assert!(answer.body.contains("connection: close"), "{text}");
     assert_eq!(harness.seen().len(), 2);
 }
+
+/// Guards against a time limit of one response head that is still in force for the next request on the connection to the
+/// server: a slower request is then sent to another server as well.
+#[tokio::test]
+async fn head_timeout_does_not_outlast_its_response() {
+    for _ in 0..4 {
+        let harness = GatewayHarness::start_with_one_server(&[harness::OK, SLOW]).await;
+        let mut caller = harness.connect().await;
+        // The second is not started early, and follows at once on the same connection to the server.
+        let sent = request("POST", "/pay/1", "") + &request("GET", "/safe/2", "");
+
+        caller.write_all(sent.as_bytes()).await.unwrap();
+
+        assert_eq!(statuses(&mut caller, 2).await, ["200", "200"]);
+        assert_eq!(harness.seen().len(), 2);
+    }
+}
