Place objects by measured demand of failure domains

With the setting placement: measured-demand, the first VM of each failure domain computes from the demand that VMs measure which fraction of the domain's objects goes to each domain, and tells the others of its domain. The default is as before.

--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -1,6 +1,7 @@
 mod announce_loop;
 mod backend_inputs;
 mod datagram;
+mod demand_reports;
 mod deployment_state;
 mod feed_loop;
 mod feed_outage;
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -101,6 +101,8 @@
     },
     /// The list of VMs from which the sender derives the owners of quotas. Unknown to earlier versions.
     Handover(mh_budget::HandoverMsg),
+    /// Demand by failure domain, and fractions of first choices. Unknown to earlier versions.
+    Demand(mh_route::objects::DemandMsg),
 }
 
 #[cfg(test)]
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -47,6 +47,8 @@
     clock: Option<(Duration, Instant)>,
     restored: RestoredState,
     quarantines: HashMap<Fingerprint, StoredQuarantine>,
+    /// Fractions of first choices by service and failure domain, from measured demand.
+    domain_fractions: BTreeMap<ServiceName, BTreeMap<DomainName, f64>>,
 }
 
 impl DeploymentState {
@@ -72,6 +74,7 @@
             clock: None,
             restored: RestoredState::default(),
             quarantines: HashMap::new(),
+            domain_fractions: BTreeMap::new(),
         }
     }
 
@@ -81,6 +84,12 @@
         self.regions = regions;
     }
 
+    /// Replaces the fractions of first choices by service and failure domain. Services without an entry are placed by
+    /// the number of VMs.
+    pub(crate) fn set_domain_fractions(&mut self, fractions: BTreeMap<ServiceName, BTreeMap<DomainName, f64>>) {
+        self.domain_fractions = fractions;
+    }
+
     /// Applies a batch of `feed`. A batch with `is_whole` is a full snapshot: entries that it does not name are
     /// removed.
     pub fn apply(&mut self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) {
--- a/crates/mh_gateway/src/control/deployment_state/live.rs
+++ b/crates/mh_gateway/src/control/deployment_state/live.rs
@@ -25,7 +25,10 @@
             let backend_inputs = BackendInputs {
                 service: service.clone(),
                 servers: usable_servers.remove(&service.name).unwrap_or_default(),
-                places: places.clone(),
+                places: RegionDistribution {
+                    domain_fractions: self.domain_fractions.get(&service.name).cloned(),
+                    ..places.clone()
+                },
                 bounds: self.bounds,
                 vms,
             };
@@ -74,6 +77,7 @@
         RegionDistribution {
             local_region: Some(self.region.clone()),
             vms,
+            domain_fractions: None,
         }
     }
 
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -23,6 +23,10 @@
 /// Ticks between two load reports to other VMs; the server loads of one interval share a datagram.
 const TICKS_PER_LOAD_REPORT: usize = 2;
 
+/// Ticks between two rounds of the exchange of demand.
+const TICKS_PER_DEMAND_ROUND: usize =
+    (mh_route::objects::DemandDistribution::ROUND.as_millis() / TICK_INTERVAL.as_millis()) as usize;
+
 /// Largest accepted datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 2048;
 
@@ -58,6 +62,9 @@
                 if tick_count.is_multiple_of(TICKS_PER_LOAD_REPORT) {
                     node.send_load_reports(tick_count / TICKS_PER_LOAD_REPORT);
                 }
+                if tick_count.is_multiple_of(TICKS_PER_DEMAND_ROUND) {
+                    node.run_demand_round(now);
+                }
             }
         }
     }
@@ -92,6 +99,7 @@
         Datagram::Limits(msg) => node.on_limit_msg(from, msg),
         Datagram::LimitAsk { number, ask } => node.on_limit_ask(from, number, &ask, now),
         Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
+        Datagram::Demand(msg) => node.on_demand_msg(from, &msg, now),
         Datagram::Handover(msg) => {
             let answer = lock(&node.quotas).on_handover(from, &msg, now);
             if let Some(answer) = answer {
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -9,6 +9,7 @@
 use mh_edge::CallerPort;
 use mh_limit::Reply;
 use mh_member::{Membership, Outbox, VmList};
+use mh_route::objects::DemandDistribution;
 use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VmName, emit};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
@@ -62,6 +63,7 @@
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
     pub(crate) stale_vms: Mutex<StaleVms>,
+    pub(crate) demand: Mutex<DemandDistribution>,
     membership_list: Mutex<VmList>,
     /// VMs that are up and missing in this VM's list.
     unlisted_vms: Mutex<Vec<UnlistedVm>>,
@@ -71,6 +73,7 @@
     next_clean_up: Mutex<Option<Instant>>,
     epoch: watch::Sender<u64>,
     rebuilds: AtomicU64,
+    placement_steps: AtomicU64,
     /// Tunnels to backend servers that are open for other VMs.
     pub(super) open_tunnels: AtomicUsize,
 }
@@ -110,6 +113,7 @@
         let changes = TcpListener::bind(listen.peers)
             .await
             .map_err(bind_failed(listen.peers))?;
+        let demand = DemandDistribution::new(cfg.vm.clone(), cfg.domain.clone(), regions.clone(), Instant::now());
         let incarnation = Incarnation(jiff::Timestamp::now().as_microsecond().unsigned_abs());
         let identity = VmIdentity {
             vm: cfg.vm.clone(),
@@ -131,6 +135,7 @@
             socket: peers,
             metrics: OnceLock::new(),
             stale_vms: Mutex::default(),
+            demand: Mutex::new(demand),
             membership_list: Mutex::default(),
             unlisted_vms: Mutex::default(),
             shift_writes: Mutex::default(),
@@ -139,6 +144,7 @@
             next_clean_up: Mutex::default(),
             epoch: watch::Sender::new(0),
             rebuilds: AtomicU64::new(0),
+            placement_steps: AtomicU64::new(0),
             open_tunnels: AtomicUsize::new(0),
             cfg,
         });
@@ -187,6 +193,7 @@
         emit!(Event::SettingsFileReloaded, vm = self.cfg.vm);
         self.gateway.set_bounds(bounds);
         self.relay.set_propagation_deadline(bounds.settings_in_force);
+        lock(&self.demand).set_regions(cfg.regions.clone());
         lock(&self.deployment).reload(bounds, cfg.regions.clone());
         self.rebuild(Instant::now());
     }
@@ -302,6 +309,16 @@
         }
     }
 
+    /// Counts a change of the fractions of first choices.
+    pub(crate) fn count_placement_step(&self) {
+        self.placement_steps.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of changes of the fractions of first choices.
+    pub(crate) fn placement_steps(&self) -> u64 {
+        self.placement_steps.load(Ordering::Relaxed)
+    }
+
     /// Returns whether a time-triggered change of the state is due.
     pub(crate) fn is_change_due(&self, now: Instant) -> bool {
         lock(&self.next_timed_change).is_some_and(|at| at <= now)
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -4,7 +4,7 @@
 
 use mh_admin::{Metric, Metrics};
 
-use super::GatewayNode;
+use super::{GatewayNode, lock};
 use crate::Feed;
 use crate::logging::lines_dropped;
 use crate::request::Counters;
@@ -41,7 +41,7 @@
             read: Arc::new(move || node.upgrade().map_or(0, |node| read(&node))),
         }
     };
-    Metrics::new(vec![
+    let mut metrics = vec![
         counter("requests", "Requests that reached the caller port", |c| &c.requests),
         counter("served", "Requests answered by a backend server", |c| &c.served),
         counter("refused", "Requests refused as not run", |c| &c.refused),
@@ -112,5 +112,35 @@
         gauge("sharing_vms", "VMs that limits are divided by", |node| {
             u64::from(node.sharing_vms())
         }),
-    ])
+    ];
+    metrics.extend(placement_metrics(gauge));
+    Metrics::new(metrics)
+}
+
+/// Metrics of placement by measured demand.
+fn placement_metrics(gauge: impl Fn(&'static str, &'static str, fn(&GatewayNode) -> u64) -> Metric) -> Vec<Metric> {
+    vec![
+        Metric {
+            is_counter: true,
+            ..gauge(
+                "placement_steps",
+                "Changes of the fractions of objects placed in each failure domain",
+                GatewayNode::placement_steps,
+            )
+        },
+        gauge(
+            "placement_leader",
+            "Whether this VM computes the fractions for its failure domain",
+            |node| u64::from(lock(&node.demand).is_leader()),
+        ),
+        gauge(
+            "demand_slots_milli",
+            "Demand of this VM's callers, in thousandths of a slot",
+            |node| {
+                let live = node.gateway.live();
+                let demand = live.backends.values().map(|backends| backends.demand.mean());
+                (demand.sum::<f64>() * 1000.0) as u64
+            },
+        ),
+    ]
 }
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeMap;
+
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
@@ -20,6 +22,8 @@
             "cold": count(|server| server.cold),
             "closed": count(|server| server.closed),
             "slots": backends.pool.slots(),
+            "demand": backends.demand.mean(),
+            "first_choices": backends.pool.capacity_by_domain().1,
         }));
         servers.extend(view.iter().map(|server| {
             let mut value = json!(server);
@@ -41,6 +45,11 @@
         json!({"routes": routes.collect::<Vec<_>>(), "unplaced_routes": plan.unreadable.routes,
             "unknown_keys": plan.unreadable.orgs, "keys": plan.unreadable.keys.len()})
     });
+    let placement = {
+        let demand = lock(&node.demand);
+        let totals: BTreeMap<_, _> = demand.totals().collect();
+        json!({"leader": demand.leader(), "fractions": demand.fractions(), "demand": totals})
+    };
     json!({
         "vm": node.cfg.vm,
         "domain": node.cfg.domain,
@@ -56,6 +65,7 @@
         "sharing_vms": node.sharing_vms(),
         "held_bytes": node.gateway.held_bytes(),
         "feeds": Feed::ALL.map(|feed| node.relay.feed_state(feed, now)),
+        "placement": placement,
         "services": services,
         "shifts": shifts.collect::<Vec<_>>(),
         "quotas": quotas.collect::<Vec<_>>(),
--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -54,7 +54,14 @@
     cx.backends.retries.on_request();
     loop {
         cx.refresh(&live.load());
-        let placement = match choose_server(cx, &history) {
+        let placement = choose_server(cx, &history);
+        if history.tried.is_empty() && history.full.is_empty() {
+            let work = placement
+                .as_ref()
+                .map_or_else(|_| cx.work_times.with_object(), Placement::work);
+            cx.backends.demand.record(work);
+        }
+        let placement = match placement {
             Ok(placement) => placement,
             Err(placement_error) => {
                 // Before the first attempt, a placement error is itself the reason of the refusal; later the failure
--- a/crates/mh_gateway/src/service_backends.rs
+++ b/crates/mh_gateway/src/service_backends.rs
@@ -4,7 +4,7 @@
 
 use mh_edge::{ConnectionPool, Dial};
 use mh_route::RetryBudget;
-use mh_route::objects::{ListedServer, ObjectPool, RegionDistribution};
+use mh_route::objects::{DemandMeter, ListedServer, ObjectPool, RegionDistribution};
 use mh_types::ServerName;
 use tokio::time::Instant;
 
@@ -25,6 +25,8 @@
     pub pool: ObjectPool,
     /// Retry budget of the service.
     pub retries: Arc<RetryBudget>,
+    /// Measured demand of this VM's callers for the service.
+    pub demand: Arc<DemandMeter>,
     connections: HashMap<ServerName, Arc<ConnectionPool>>,
     vms: u32,
 }
@@ -65,6 +67,7 @@
         Self {
             pool,
             retries,
+            demand: previous.map(|p| Arc::clone(&p.demand)).unwrap_or_default(),
             connections: connections.collect(),
             vms,
         }
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -30,6 +30,9 @@
     /// Whether the whole fleet starts for the first time, so that no VM is listed yet.
     #[serde(default)]
     pub first_start: bool,
+    /// How the objects of callers are distributed over failure domains.
+    #[serde(default)]
+    pub placement: PlacementMode,
     /// Regions of the failure domains.
     pub regions: BTreeMap<DomainName, RegionName>,
     /// Bounds over the whole fleet; missing ones have the default values.
@@ -40,6 +43,17 @@
     pub log: log::LevelFilter,
 }
 
+/// Distribution of callers' objects over failure domains.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementMode {
+    /// Evenly over the domains of the region, by the number of VMs of each region.
+    #[default]
+    Region,
+    /// Own failure domain first, by the demand that VMs measure.
+    MeasuredDemand,
+}
+
 /// Listen addresses of a gateway VM.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -152,6 +152,7 @@
         threads: 1,
         memory_mb: 128,
         first_start: false,
+        placement: mh_gateway::PlacementMode::default(),
         descriptors: 256,
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
         promises: BoundSettings::default(),
--- a/crates/mh_gateway/tests/unit/datagram.rs
+++ b/crates/mh_gateway/tests/unit/datagram.rs
@@ -32,3 +32,53 @@
 
     assert_eq!(error, format!("message version {} is not supported", WIRE_VERSION + 1));
 }
+
+/// Guards against messages about demand that do not fit one packet in a fleet of 43 domains with many services.
+#[test]
+fn demand_messages_fit_one_packet() {
+    use std::collections::{BTreeMap, BTreeSet};
+
+    use mh_route::objects::{DemandDistribution, FleetDemandView, ServiceCapacity};
+    use tokio::time::Instant;
+
+    let domain = |n: usize| mh_types::DomainName::from(format!("vermont-{n:02}").as_str());
+    let vms = |n: usize| -> BTreeSet<VmName> {
+        (0..35)
+            .map(|vm| format!("vermont-{n:02}-{vm:02}").as_str().into())
+            .collect()
+    };
+    let regions: BTreeMap<_, _> = (0..43)
+        .map(|n| (domain(n), format!("r{}", n % 14).as_str().into()))
+        .collect();
+    let even: BTreeMap<_, f64> = (0..43).map(|n| (domain(n), 1.0 / 43.0)).collect();
+    let service = |n: usize| mh_types::ServiceName::from(format!("service-{n:02}").as_str());
+    let fleet = FleetDemandView {
+        alive: (0..43).map(|n| (domain(n), vms(n))).collect(),
+        listed: (0..43).map(|n| (domain(n), 35.0)).collect(),
+        services: (0..20)
+            .map(|n| ServiceCapacity {
+                service: service(n),
+                slots: even.keys().map(|domain| (domain.clone(), 100.0)).collect(),
+                first_choices: even.clone(),
+            })
+            .collect(),
+    };
+    let mut now = Instant::now();
+    let first = vms(0).first().cloned().expect("a VM");
+    let mut leader = DemandDistribution::new(first, domain(0), regions, now);
+
+    let (mut most, mut sent, rounds) = (0, 0, 40);
+    for _ in 0..rounds {
+        now += DemandDistribution::ROUND;
+        let own: BTreeMap<_, _> = (0..20).map(|n| (service(n), 9.0)).collect();
+        for (vm, msg) in leader.on_round(now, &own, &fleet).out {
+            let bytes = encode(&vm, &Datagram::Demand(msg)).expect("the message encodes").len();
+            most = most.max(bytes);
+            sent += bytes + 28;
+        }
+    }
+
+    assert!(most <= 1400, "{most} bytes");
+    let per_second = sent as f64 / (f64::from(rounds) * DemandDistribution::ROUND.as_secs_f64());
+    assert!(per_second <= 21_000.0, "{per_second} bytes a second");
+}
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -181,6 +181,7 @@
             threads: 1,
             memory_mb: 128,
             first_start: false,
+            placement: crate::PlacementMode::default(),
             descriptors: 256,
             regions: BTreeMap::from([("a".into(), "north".into())]),
             promises: BoundSettings::default(),
--- a/crates/mh_route/src/objects/mod.rs
+++ b/crates/mh_route/src/objects/mod.rs
@@ -38,6 +38,7 @@
 //! ```
 
 mod cold_rate_limiter;
+mod demand;
 mod listed_server;
 mod object_request;
 mod placement;
@@ -50,6 +51,10 @@
 mod server_view;
 mod work_times;
 
+pub use demand::{
+    DemandDistribution, DemandMeter, DemandMsg, DemandRound, DomainFractions, FleetDemandView, MAX_DOMAIN_STEP,
+    MAX_REGION_STEP, ServiceCapacity, next_step, target_fractions,
+};
 pub use listed_server::ListedServer;
 pub use object_request::{ObjectRequest, VersionFilter};
 pub use placement::Placement;
--- a/crates/mh_route/src/objects/placement.rs
+++ b/crates/mh_route/src/objects/placement.rs
@@ -51,6 +51,11 @@
         Duration::from_micros(self.wait_us + self.work_us + self.stats.round_trip_us())
     }
 
+    /// Predicted work at the server.
+    pub fn work(&self) -> Duration {
+        Duration::from_micros(self.work_us)
+    }
+
     /// Records the time that connecting to the server took.
     pub fn connected(&self, took: Duration) {
         self.stats.on_round_trip(micros(took));
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -12,7 +12,7 @@
 use super::{ListedServer, ObjectRequest, ObjectServerView, Placement, PlacementError, RegionDistribution};
 use crate::ServerSpec;
 use crate::clock::{Clock, Micros, micros};
-use mh_types::ServerName;
+use mh_types::{DomainName, ServerName};
 
 /// Maximum of servers that an object is sent to. A server caches a few dozen objects; if a busy service spread each
 /// object over all servers, none would hold it, and responses would be several times slower just when the service is at
@@ -97,7 +97,8 @@
             0
         };
         let accepting = listed.iter().filter(|listed| !listed.leaving);
-        let slot_weights = distribution.slot_weights(accepting.map(|listed| (&listed.spec.region, listed.spec.slots)));
+        let accepting = accepting.map(|listed| (&listed.spec.domain, &listed.spec.region, listed.spec.slots));
+        let slot_weights = distribution.slot_weights(accepting);
         let before: HashMap<&ServerName, &Server> = previous
             .into_iter()
             .flat_map(|pool| pool.servers.iter().map(|server| (&server.spec.name, server)))
@@ -120,7 +121,7 @@
                 spec: Arc::new(listed.spec.clone()),
                 run: listed.run,
                 leaving: listed.leaving,
-                object_weight: slot_weights.get(&listed.spec.region).copied().unwrap_or_default()
+                object_weight: slot_weights.get(&listed.spec.domain).copied().unwrap_or_default()
                     * f64::from(listed.spec.slots),
                 stats,
             }
@@ -333,6 +334,23 @@
         accepting.map(|server| server.spec.slots).fold(0, u32::saturating_add)
     }
 
+    /// Slots of the servers that take new requests, and fractions of the objects' first choices, by failure domain.
+    pub fn capacity_by_domain(&self) -> (BTreeMap<DomainName, f64>, BTreeMap<DomainName, f64>) {
+        let mut slots = BTreeMap::new();
+        let mut fractions = BTreeMap::new();
+        for server in self.servers.iter().filter(|server| !server.leaving) {
+            *slots.entry(server.spec.domain.clone()).or_default() += f64::from(server.spec.slots);
+            *fractions.entry(server.spec.domain.clone()).or_default() += server.object_weight;
+        }
+        let sum: f64 = fractions.values().sum();
+        if sum > 0.0 {
+            for fraction in fractions.values_mut() {
+                *fraction /= sum;
+            }
+        }
+        (slots, fractions)
+    }
+
     /// State of every server, for the state dump.
     pub fn view(&self, now: Instant) -> Vec<ObjectServerView> {
         let at = self.clock.micros(now);
--- a/crates/mh_route/src/objects/region_distribution.rs
+++ b/crates/mh_route/src/objects/region_distribution.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeMap;
 
-use mh_types::RegionName;
+use mh_types::{DomainName, RegionName};
 
 /// Fraction of a region's slots that the objects of its own callers may fill; the rest absorbs uneven load per object.
-const MAX_LOCAL_FILL: f64 = 0.85;
+pub(super) const MAX_LOCAL_FILL: f64 = 0.85;
 
 /// Location of this VM and distribution of the callers' requests over regions.
 ///
@@ -15,17 +15,50 @@
     pub local_region: Option<RegionName>,
     /// Number of VMs by region. Callers use the VMs of their region, so it is proportional to the callers there.
     pub vms: BTreeMap<RegionName, u32>,
+    /// Fractions of this VM's objects whose first choice is in each failure domain, by measured demand; `None` to use
+    /// the number of VMs.
+    pub domain_fractions: Option<BTreeMap<DomainName, f64>>,
 }
 
 impl RegionDistribution {
-    /// Relative weight of one slot in the choice of a server for this VM's objects, by region.
+    /// Relative weight of one slot in the choice of a server for this VM's objects, by failure domain.
     pub(crate) fn slot_weights<'a>(
         &self,
-        servers: impl Iterator<Item = (&'a RegionName, u32)>,
+        servers: impl Iterator<Item = (&'a DomainName, &'a RegionName, u32)>,
+    ) -> BTreeMap<DomainName, f64> {
+        let mut slots: BTreeMap<&DomainName, (&RegionName, f64)> = BTreeMap::new();
+        for (domain, region, count) in servers {
+            slots.entry(domain).or_insert((region, 0.0)).1 += f64::from(count);
+        }
+        if let Some(fractions) = &self.domain_fractions {
+            let weight = |domain: &DomainName, slots: f64| {
+                let fraction = fractions.get(domain).copied().unwrap_or_default();
+                fraction / slots.max(1.0)
+            };
+            let weights: BTreeMap<DomainName, f64> = slots
+                .iter()
+                .map(|(domain, (_, slots))| ((*domain).clone(), weight(domain, *slots)))
+                .collect();
+            // The domains with a fraction may all be drained.
+            if weights.values().any(|weight| *weight > 0.0) {
+                return weights;
+            }
+        }
+        let by_region = self.region_slot_weights(slots.values().copied());
+        let weight = |region: &RegionName| by_region.get(region).copied().unwrap_or_default();
+        slots
+            .iter()
+            .map(|(domain, (region, _))| ((*domain).clone(), weight(region)))
+            .collect()
+    }
+
+    fn region_slot_weights<'a>(
+        &self,
+        domains: impl Iterator<Item = (&'a RegionName, f64)>,
     ) -> BTreeMap<RegionName, f64> {
         let mut slots: BTreeMap<RegionName, f64> = BTreeMap::new();
-        for (region, count) in servers {
-            *slots.entry(region.clone()).or_default() += f64::from(count);
+        for (region, count) in domains {
+            *slots.entry(region.clone()).or_default() += count;
         }
         let all_slots: f64 = slots.values().sum();
         let all_vms: f64 = self.vms.values().map(|vms| f64::from(*vms)).sum();
--- a/crates/mh_route/src/objects/work_times.rs
+++ b/crates/mh_route/src/objects/work_times.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Expected work at a server that holds the object.
+    pub fn with_object(&self) -> Duration {
+        Duration::from_micros(self.expected_us(true))
+    }
+
     pub(crate) fn expected_us(&self, holds_object: bool) -> u64 {
         let with_object_us = self.with_object_us.load(Ordering::Relaxed);
         if holds_object {
--- a/crates/mh_route/tests/objects.rs
+++ b/crates/mh_route/tests/objects.rs
@@ -206,6 +206,7 @@
         let distribution = RegionDistribution {
             local_region: Some(region.into()),
             vms: vms.clone(),
+            domain_fractions: None,
         };
         let pool = ObjectPool::new(&listed, None, 0.0, 10, &distribution, now);
         let in_region = (0..1000).filter(|object| {
