Answer look-ups by failure domain, size and spare capacity

With the setting lookups: domain, a look-up returns VMs of the caller's failure domain, each with a probability in proportion to its size and unused processor time, link and descriptors. Short domains shed callers to the region and other regions gradually. The default is as before.

--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -1,5 +1,6 @@
 mod announce_loop;
 mod backend_inputs;
+mod capacity_reports;
 mod datagram;
 mod demand_reports;
 mod deployment_state;
@@ -20,6 +21,7 @@
 
 pub use deployment_state::DeploymentState;
 
+pub(crate) use capacity_reports::Capacities;
 pub(crate) use datagram::{Datagram, encode};
 pub(crate) use quota_controller::QuotaController;
 
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -103,6 +103,13 @@
     Handover(mh_budget::HandoverMsg),
     /// Demand by failure domain, and fractions of first choices. Unknown to earlier versions.
     Demand(mh_route::objects::DemandMsg),
+    /// Size and spare capacity of the sender, for look-ups. Unknown to earlier versions.
+    Capacity {
+        /// Size in thousandths of a core.
+        size: u32,
+        /// Unused part of the scarcest resource, of 255.
+        spare: u8,
+    },
 }
 
 #[cfg(test)]
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -15,7 +15,7 @@
 use super::{Datagram, DeploymentState, QuotaController};
 use crate::SuspendDetector;
 use crate::node::{GatewayNode, UnlistedVm, lock};
-use crate::{AnnouncedVm, Feed};
+use crate::{AnnouncedVm, Feed, LookupMode};
 
 /// Time between two ticks of the membership protocol.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
@@ -23,6 +23,9 @@
 /// Ticks between two load reports to other VMs; the server loads of one interval share a datagram.
 const TICKS_PER_LOAD_REPORT: usize = 2;
 
+/// Ticks between two reports of the spare capacity.
+const TICKS_PER_CAPACITY_REPORT: usize = 5;
+
 /// Ticks between two rounds of the exchange of demand.
 const TICKS_PER_DEMAND_ROUND: usize =
     (mh_route::objects::DemandDistribution::ROUND.as_millis() / TICK_INTERVAL.as_millis()) as usize;
@@ -62,6 +65,9 @@
                 if tick_count.is_multiple_of(TICKS_PER_LOAD_REPORT) {
                     node.send_load_reports(tick_count / TICKS_PER_LOAD_REPORT);
                 }
+                if tick_count.is_multiple_of(TICKS_PER_CAPACITY_REPORT) {
+                    node.send_capacity(now);
+                }
                 if tick_count.is_multiple_of(TICKS_PER_DEMAND_ROUND) {
                     node.run_demand_round(now);
                 }
@@ -99,6 +105,7 @@
         Datagram::Limits(msg) => node.on_limit_msg(from, msg),
         Datagram::LimitAsk { number, ask } => node.on_limit_ask(from, number, &ask, now),
         Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
+        Datagram::Capacity { size, spare } => node.on_capacity(from, size, spare, now),
         Datagram::Demand(msg) => node.on_demand_msg(from, &msg, now),
         Datagram::Handover(msg) => {
             let answer = lock(&node.quotas).on_handover(from, &msg, now);
@@ -230,6 +237,11 @@
         .filter(|vm| view.state(&vm.vm) == Some(MemberState::Dead));
     let dead: Vec<VmName> = dead.map(|vm| vm.vm.clone()).collect();
     let own = node.announced();
+    if node.cfg.lookups == LookupMode::Domain {
+        let others = deployment.vms().filter(|vm| vm.vm != own.vm && is_usable(&vm.vm));
+        let own = (!node.gateway.is_leaving()).then_some(&own);
+        node.set_lookup_vms(others.chain(own));
+    }
     // A restarted VM whose entry is unchanged need not write it again.
     let is_listed = deployment.vm(&own.vm) == Some(&own) && deployment.is_vm_stored(&own.vm);
     let is_own_entry_missing = deployment.has_read(Feed::Vms) && !is_listed && !node.gateway.is_leaving();
--- a/crates/mh_gateway/src/interface.rs
+++ b/crates/mh_gateway/src/interface.rs
@@ -3,13 +3,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use mh_types::RegionName;
+use mh_types::{DomainName, RegionName};
 
 /// Parameters of a look-up.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LookupQuery {
     /// Region of the caller; `None` if the query doesn't state it.
     pub region: Option<RegionName>,
+    /// Failure domain of the caller; `None` if the query doesn't state it.
+    pub domain: Option<DomainName>,
 }
 
 /// Paths and formats of the look-ups and readiness checks of a deployment.
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -51,7 +51,7 @@
 pub use quota_peers::QuotaPeers;
 pub use request::{Counters, Gateway, LimitGate, ServerPaths};
 pub use service_backends::ServiceBackends;
-pub use settings::{BoundSettings, GatewayListen, GatewaySettings, PlacementMode};
+pub use settings::{BoundSettings, GatewayListen, GatewaySettings, LookupMode, PlacementMode};
 pub use shift_phase::ShiftPhase;
 pub use source::{
     AnnouncedVm, Batch, ChangesRead, Feed, RegisteredServer, ShiftOrder, ShiftRecord, Source, StoredQuarantine, Update,
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -4,10 +4,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use mh_admin::Metrics;
 use mh_budget::{Answer, Msg, Outgoing, Owner, VmIdentity};
 use mh_edge::CallerPort;
 use mh_limit::Reply;
+use mh_lookup::zonal::ZonalVm;
 use mh_member::{Membership, Outbox, VmList};
 use mh_route::objects::DemandDistribution;
 use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VmName, emit};
@@ -22,7 +24,7 @@
 use super::supervise::supervise;
 use super::unlisted_vm::UnlistedVm;
 use crate::control::{
-    Datagram, DeploymentState, QuotaController, Relay, StaleVms, encode, follow_feed, run_membership,
+    Capacities, Datagram, DeploymentState, QuotaController, Relay, StaleVms, encode, follow_feed, run_membership,
 };
 use crate::request::Timings;
 use crate::{
@@ -64,6 +66,11 @@
     metrics: OnceLock<Metrics>,
     pub(crate) stale_vms: Mutex<StaleVms>,
     pub(crate) demand: Mutex<DemandDistribution>,
+    pub(crate) capacities: Mutex<Capacities>,
+    /// VMs that look-ups by failure domain return.
+    pub(crate) lookup_vms: ArcSwap<Vec<ZonalVm>>,
+    /// Bytes of requests and responses that passed over this VM's link in one direction, as far as their size is known.
+    pub(crate) caller_bytes: AtomicU64,
     membership_list: Mutex<VmList>,
     /// VMs that are up and missing in this VM's list.
     unlisted_vms: Mutex<Vec<UnlistedVm>>,
@@ -136,6 +143,9 @@
             metrics: OnceLock::new(),
             stale_vms: Mutex::default(),
             demand: Mutex::new(demand),
+            capacities: Mutex::new(Capacities::new(&cfg)),
+            lookup_vms: ArcSwap::default(),
+            caller_bytes: AtomicU64::new(0),
             membership_list: Mutex::default(),
             unlisted_vms: Mutex::default(),
             shift_writes: Mutex::default(),
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -117,9 +117,14 @@
     Metrics::new(metrics)
 }
 
-/// Metrics of placement by measured demand.
+/// Metrics of placement by measured demand and of look-ups by failure domain.
 fn placement_metrics(gauge: impl Fn(&'static str, &'static str, fn(&GatewayNode) -> u64) -> Metric) -> Vec<Metric> {
     vec![
+        gauge(
+            "spare_capacity_permille",
+            "Unused part of the scarcest resource of this VM, as look-ups by failure domain count it",
+            |node| (lock(&node.capacities).spare() * 1000.0) as u64,
+        ),
         Metric {
             is_counter: true,
             ..gauge(
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -1,14 +1,16 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Weak};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mh_edge::{CallerPort, PortLimits, serve_with, set_options};
+use mh_lookup::zonal;
 use mh_platform::BoxFuture;
 use mh_types::{Event, RegionName, emit};
 use tokio::net::TcpListener;
@@ -17,6 +19,7 @@
 use super::GatewayNode;
 use super::state_dump::state_dump;
 use super::tunnel_port::handle_connect;
+use crate::LookupMode;
 use crate::control::{CHANGES_PATH, parse_changes_query};
 use crate::request::count_lookup;
 
@@ -27,6 +30,9 @@
 /// and a short lifetime lets a VM leave within its grace period.
 const LOOKUP_LIFETIME_FRACTION: f64 = 0.4;
 
+/// Usual bytes of the heads of a request and its response, for the estimate of the link's use.
+const HEAD_BYTES: u64 = 800;
+
 /// Longest wait for a request on the look-up, health and peer ports.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -59,9 +65,25 @@
             }
         }
     };
+    // Only look-ups by failure domain use the bytes.
+    let node = if node.cfg.lookups == LookupMode::Domain {
+        Arc::downgrade(node)
+    } else {
+        Weak::new()
+    };
     serve_with(listener, limits, move |req| {
         let gateway = Arc::clone(&gateway);
-        async move { gateway.handle(req).await }
+        let node = Weak::clone(&node);
+        async move {
+            let received = req.body().size_hint().exact().unwrap_or_default();
+            let response = gateway.handle(req).await;
+            if let Some(node) = node.upgrade() {
+                let sent = response.body().size_hint().exact().unwrap_or_default();
+                let bytes = received + sent + HEAD_BYTES;
+                node.caller_bytes.fetch_add(bytes, Ordering::Relaxed);
+            }
+            response
+        }
     })
 }
 
@@ -129,7 +151,16 @@
     }
     count_lookup(node.gateway.counters());
     let query = node.interface.lookup_query(req.uri().query().unwrap_or_default());
-    let vms = select_vms(&node.gateway.live().vms, query.region.as_ref(), rand::random());
+    let vms = match node.cfg.lookups {
+        LookupMode::Region => select_vms(&node.gateway.live().vms, query.region.as_ref(), rand::random()),
+        LookupMode::Domain => zonal::select(
+            &node.lookup_vms.load(),
+            query.region.as_ref(),
+            query.domain.as_ref(),
+            MAX_LOOKUP_VMS,
+            rand::random::<f64>,
+        ),
+    };
     if vms.is_empty() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
     }
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -50,6 +50,14 @@
         let totals: BTreeMap<_, _> = demand.totals().collect();
         json!({"leader": demand.leader(), "fractions": demand.fractions(), "demand": totals})
     };
+    let lookups = {
+        let capacities = lock(&node.capacities);
+        let vms = node.lookup_vms.load();
+        let vms = vms
+            .iter()
+            .map(|vm| json!({"addr": vm.addr, "domain": vm.domain, "size": vm.size, "spare": vm.spare}));
+        json!({"size": capacities.size(), "spare": capacities.spare(), "vms": vms.collect::<Vec<_>>()})
+    };
     json!({
         "vm": node.cfg.vm,
         "domain": node.cfg.domain,
@@ -66,6 +74,7 @@
         "held_bytes": node.gateway.held_bytes(),
         "feeds": Feed::ALL.map(|feed| node.relay.feed_state(feed, now)),
         "placement": placement,
+        "lookups": lookups,
         "services": services,
         "shifts": shifts.collect::<Vec<_>>(),
         "quotas": quotas.collect::<Vec<_>>(),
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -33,6 +33,15 @@
     /// How the objects of callers are distributed over failure domains.
     #[serde(default)]
     pub placement: PlacementMode,
+    /// Which VMs look-ups return.
+    #[serde(default)]
+    pub lookups: LookupMode,
+    /// Processor time that the process may use, in cores; unknown by default.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
+    /// Bandwidth of the VM's link in Mbit/s; unknown by default.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Regions of the failure domains.
     pub regions: BTreeMap<DomainName, RegionName>,
     /// Bounds over the whole fleet; missing ones have the default values.
@@ -54,6 +63,17 @@
     MeasuredDemand,
 }
 
+/// VMs that look-ups return.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LookupMode {
+    /// All VMs of the caller's region.
+    #[default]
+    Region,
+    /// VMs of the caller's failure domain first, in proportion to size and spare capacity.
+    Domain,
+}
+
 /// Listen addresses of a gateway VM.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -37,7 +37,7 @@
     }
 
     fn lookup_query(&self, _query: &str) -> LookupQuery {
-        LookupQuery { region: None }
+        LookupQuery::default()
     }
 
     fn lookup_answer(&self, _vms: &[SocketAddr], _lifetime: Duration) -> Bytes {
@@ -153,6 +153,9 @@
         memory_mb: 128,
         first_start: false,
         placement: mh_gateway::PlacementMode::default(),
+        lookups: mh_gateway::LookupMode::default(),
+        cpu_share: None,
+        link_mbps: None,
         descriptors: 256,
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
         promises: BoundSettings::default(),
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -35,7 +35,7 @@
     }
 
     fn lookup_query(&self, _query: &str) -> LookupQuery {
-        LookupQuery { region: None }
+        LookupQuery::default()
     }
 
     fn lookup_answer(&self, _vms: &[SocketAddr], _lifetime: Duration) -> Bytes {
@@ -182,6 +182,9 @@
             memory_mb: 128,
             first_start: false,
             placement: crate::PlacementMode::default(),
+            lookups: crate::LookupMode::default(),
+            cpu_share: None,
+            link_mbps: None,
             descriptors: 256,
             regions: BTreeMap::from([("a".into(), "north".into())]),
             promises: BoundSettings::default(),
--- a/crates/mh_lookup/src/lib.rs
+++ b/crates/mh_lookup/src/lib.rs
@@ -47,6 +47,7 @@
 mod vm;
 mod vm_spec;
 mod window_counter;
+pub mod zonal;
 
 pub use block::{Block, InvalidBlock};
 pub use change::Change;
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -95,6 +95,7 @@
     PathChanged = 609, Warn, "This VM cannot reach any backend server itself and uses tunnels through other VMs, or no longer.";
     TunnelFailed = 610, Warn, "A tunnel through another VM to a backend server could not be opened.";
     PlacementChanged = 615, Info, "The fraction of objects placed in the own failure domain changed.";
+    SpareCapacityChanged = 616, Info, "The spare capacity of this VM, by which look-ups return it, changed.";
     RequestDeferred = 650, Info, "A request was stored for later delivery.";
     DeferredDelivered = 651, Info, "A stored request was delivered.";
     DeferredUnreadable = 652, Error, "A stored request cannot be read; it stays where it is.";
