--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -115,11 +115,20 @@
     (node, caller_port)
 }
 
-/// Starts a VM and returns its addresses too. Another process may take a free port before it is bound, so several
-/// attempts are made.
 async fn start_with_ports(store: &MemoryStore, n: usize) -> (Arc<GatewayNode>, CallerPort, GatewayListen) {
+    start_with(store, n, |_| {}).await
+}
+
+/// Starts a VM with changed settings and returns its addresses too. Another process may take a free port before it is
+/// bound, so several attempts are made.
+pub async fn start_with(
+    store: &MemoryStore,
+    n: usize,
+    change: impl Fn(&mut GatewaySettings),
+) -> (Arc<GatewayNode>, CallerPort, GatewayListen) {
     for _ in 0..20 {
-        let cfg = settings(n);
+        let mut cfg = settings(n);
+        change(&mut cfg);
         let listen = cfg.listen.clone();
         let source = Arc::new(store.source(&cfg.vm));
         let started = GatewayNode::start(cfg, HeaderNames::default(), Arc::new(PlainInterface), source).await;
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -181,8 +181,8 @@
             threads: 1,
             memory_mb: 128,
             first_start: false,
-            placement: crate::PlacementMode::default(),
-            lookups: crate::LookupMode::default(),
+            placement: crate::PlacementMode::MeasuredDemand,
+            lookups: crate::LookupMode::Domain,
             cpu_share: None,
             link_mbps: None,
             descriptors: 256,
@@ -301,6 +301,7 @@
         body,
     });
     out.extend(limit_messages(number, time));
+    out.extend(domain_messages(number));
     let server: ServerName = "s1".into();
     out.extend([
         reader_report(number, time, None),
@@ -320,6 +321,25 @@
     out
 }
 
+/// Returns messages about demand and spare capacity.
+fn domain_messages(number: u64) -> [Datagram; 3] {
+    let demand = vec![("stock".into(), number as u32)];
+    [
+        Datagram::Demand(mh_route::objects::DemandMsg::Sample {
+            demand: demand.clone(),
+            fractions: None,
+        }),
+        Datagram::Demand(mh_route::objects::DemandMsg::Total {
+            domain: "a".into(),
+            demand,
+        }),
+        Datagram::Capacity {
+            size: number as u32,
+            spare: number as u8,
+        },
+    ]
+}
+
 /// Returns messages of every kind about limits that servers state.
 fn limit_messages(number: u64, time: Duration) -> [Datagram; 4] {
     let statement = mh_limit::Statement {
