--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -103,6 +103,15 @@
     Handover(mh_budget::HandoverMsg),
     /// Loads of servers that state their speed. Unknown to earlier versions.
     StatedLoads(StatedLoads),
+    /// Demand by failure domain, and fractions of first choices. Unknown to earlier versions.
+    Demand(mh_route::objects::DemandMsg),
+    /// Size and spare capacity of the sender, for look-ups. Unknown to earlier versions.
+    Capacity {
+        /// Size in thousandths of a core.
+        size: u32,
+        /// Unused part of the scarcest resource, of 255.
+        spare: u8,
+    },
 }
 
 /// Loads that backend servers with a stated speed reported to the sender.
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -5,7 +5,7 @@
 use mh_admin::{Metric, Metrics};
 use mh_edge::PipelineLoad;
 
-use super::GatewayNode;
+use super::{GatewayNode, lock};
 use crate::Feed;
 use crate::logging::lines_dropped;
 use crate::request::Counters;
@@ -108,6 +108,7 @@
         }),
     ]);
     metrics.extend(pipelining_metrics(&node));
+    metrics.extend(placement_metrics(gauge));
     Metrics::new(metrics)
 }
 
@@ -182,3 +183,36 @@
         }
     })
 }
+
+/// Metrics of placement by measured demand and of look-ups by failure domain.
+fn placement_metrics(gauge: impl Fn(&'static str, &'static str, fn(&GatewayNode) -> u64) -> Metric) -> Vec<Metric> {
+    vec![
+        gauge(
+            "spare_capacity_permille",
+            "Unused part of the scarcest resource of this VM, as look-ups by failure domain count it",
+            |node| (lock(&node.capacities).spare() * 1000.0) as u64,
+        ),
+        Metric {
+            is_counter: true,
+            ..gauge(
+                "placement_steps",
+                "Changes of the fractions of objects placed in each failure domain",
+                GatewayNode::placement_steps,
+            )
+        },
+        gauge(
+            "placement_leader",
+            "Whether this VM computes the fractions for its failure domain",
+            |node| u64::from(lock(&node.demand).is_leader()),
+        ),
+        gauge(
+            "demand_slots_milli",
+            "Demand of this VM's callers, in thousandths of a slot",
+            |node| {
+                let live = node.gateway.live();
+                let demand = live.backends.values().map(|backends| backends.demand.mean());
+                (demand.sum::<f64>() * 1000.0) as u64
+            },
+        ),
+    ]
+}
--- a/crates/mh_gateway/src/node/ports.rs
+++ b/crates/mh_gateway/src/node/ports.rs
@@ -9,6 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mh_edge::{CallerPort, PortLimits, set_options};
+use mh_lookup::zonal;
 use mh_platform::BoxFuture;
 use mh_types::{Event, RegionName, emit};
 use tokio::net::TcpListener;
@@ -17,6 +18,7 @@
 use super::GatewayNode;
 use super::state_dump::state_dump;
 use super::tunnel_port::handle_connect;
+use crate::LookupMode;
 use crate::control::{CHANGES_PATH, parse_changes_query};
 use crate::request::{count_lookup, serve_gateway};
 
@@ -126,7 +128,16 @@
     }
     count_lookup(node.gateway.counters());
     let query = node.interface.lookup_query(req.uri().query().unwrap_or_default());
-    let vms = select_vms(&node.gateway.live().vms, query.region.as_ref(), rand::random());
+    let vms = match node.cfg.lookups {
+        LookupMode::Region => select_vms(&node.gateway.live().vms, query.region.as_ref(), rand::random()),
+        LookupMode::Domain => zonal::select(
+            &node.lookup_vms.load(),
+            query.region.as_ref(),
+            query.domain.as_ref(),
+            MAX_LOOKUP_VMS,
+            rand::random::<f64>,
+        ),
+    };
     if vms.is_empty() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, String::new());
     }
--- a/crates/mh_gateway/src/request/counters.rs
+++ b/crates/mh_gateway/src/request/counters.rs
@@ -32,6 +32,8 @@
     pub store_reads: AtomicU64,
     /// Calls to the store that failed.
     pub store_failures: AtomicU64,
+    /// Bytes of requests and responses on the caller port, as far as their sizes are known when they begin.
+    pub caller_bytes: AtomicU64,
     /// Answers of other VMs with changes that this VM missed.
     pub fetches: AtomicU64,
     pub(super) timings: OnceLock<Timings>,
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -6,7 +6,7 @@
 use arc_swap::{ArcSwap, Guard};
 use arcstr::ArcStr;
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
@@ -42,6 +42,9 @@
 /// Maximum memory of buffered bodies in bytes where the memory of the VM is not known.
 const DEFAULT_BUFFER_BYTES: usize = 32 * 1024 * 1024;
 
+/// Usual bytes of the heads of a request and its response, for the estimate of the link's use.
+const HEAD_BYTES: u64 = 800;
+
 /// Handler of callers' requests.
 #[derive(Debug)]
 pub struct Gateway {
@@ -191,6 +194,11 @@
     pub(crate) async fn handle_at(&self, req: Request<Option<Incoming>>, arrived: Instant) -> Response<ResponseBody> {
         let _running = RunningGuard::start(&self.counters.running);
         increment(&self.counters.requests);
+        let received = req
+            .body()
+            .as_ref()
+            .and_then(|body| body.size_hint().exact())
+            .unwrap_or_default();
         let id_header = req.headers().get(&self.headers.request_id).cloned();
         let id_header = id_header.unwrap_or_else(random_request_id);
         let id = ArcStr::from(id_header.to_str().unwrap_or("unreadable"));
@@ -204,6 +212,9 @@
         if let Some(timings) = self.counters.timings() {
             timings.on_request_end(arrived.elapsed());
         }
+        let sent = answer.body().size_hint().exact().unwrap_or_default();
+        let bytes = received + sent + HEAD_BYTES;
+        self.counters.caller_bytes.fetch_add(bytes, Ordering::Relaxed);
         if self.is_leaving() {
             answer
                 .headers_mut()
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -31,6 +31,18 @@
     /// Whether the whole fleet starts for the first time, so that no VM is listed yet.
     #[serde(default)]
     pub first_start: bool,
+    /// How the objects of callers are distributed over failure domains.
+    #[serde(default)]
+    pub placement: PlacementMode,
+    /// Which VMs look-ups return.
+    #[serde(default)]
+    pub lookups: LookupMode,
+    /// Processor time that the process may use, in cores; unknown by default.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
+    /// Bandwidth of the VM's link in Mbit/s; unknown by default.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Regions of the failure domains.
     pub regions: BTreeMap<DomainName, RegionName>,
     /// Bounds over the whole fleet; missing ones have the default values.
@@ -44,6 +56,28 @@
     pub log: log::LevelFilter,
 }
 
+/// Distribution of callers' objects over failure domains.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementMode {
+    /// Evenly over the domains of the region, by the number of VMs of each region.
+    #[default]
+    Region,
+    /// Own failure domain first, by the demand that VMs measure.
+    MeasuredDemand,
+}
+
+/// VMs that look-ups return.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LookupMode {
+    /// All VMs of the caller's region.
+    #[default]
+    Region,
+    /// VMs of the caller's failure domain first, in proportion to size and spare capacity.
+    Domain,
+}
+
 /// Listen addresses of a gateway VM.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -37,7 +37,7 @@
     }
 
     fn lookup_query(&self, _query: &str) -> LookupQuery {
-        LookupQuery { region: None }
+        LookupQuery::default()
     }
 
     fn lookup_answer(&self, _vms: &[SocketAddr], _lifetime: Duration) -> Bytes {
@@ -115,11 +115,20 @@
     (node, caller_port)
 }
 
-/// Starts a VM and returns its addresses too. Another process may take a free port before it is bound, so several
-/// attempts are made.
 async fn start_with_ports(store: &MemoryStore, n: usize) -> (Arc<GatewayNode>, CallerPort, GatewayListen) {
+    start_with(store, n, |_| {}).await
+}
+
+/// Starts a VM with changed settings and returns its addresses too. Another process may take a free port before it is
+/// bound, so several attempts are made.
+pub async fn start_with(
+    store: &MemoryStore,
+    n: usize,
+    change: impl Fn(&mut GatewaySettings),
+) -> (Arc<GatewayNode>, CallerPort, GatewayListen) {
     for _ in 0..20 {
-        let cfg = settings(n);
+        let mut cfg = settings(n);
+        change(&mut cfg);
         let listen = cfg.listen.clone();
         let source = Arc::new(store.source(&cfg.vm));
         let started = GatewayNode::start(cfg, HeaderNames::default(), Arc::new(PlainInterface), source).await;
@@ -152,6 +161,10 @@
         threads: 1,
         memory_mb: 128,
         first_start: false,
+        placement: mh_gateway::PlacementMode::default(),
+        lookups: mh_gateway::LookupMode::default(),
+        cpu_share: None,
+        link_mbps: None,
         descriptors: 256,
         pipelining: mh_edge::PipelineBounds::default(),
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -36,7 +36,7 @@
     }
 
     fn lookup_query(&self, _query: &str) -> LookupQuery {
-        LookupQuery { region: None }
+        LookupQuery::default()
     }
 
     fn lookup_answer(&self, _vms: &[SocketAddr], _lifetime: Duration) -> Bytes {
@@ -182,6 +182,10 @@
             threads: 1,
             memory_mb: 128,
             first_start: false,
+            placement: crate::PlacementMode::MeasuredDemand,
+            lookups: crate::LookupMode::Domain,
+            cpu_share: None,
+            link_mbps: None,
             descriptors: 256,
             pipelining: mh_edge::PipelineBounds::default(),
             regions: BTreeMap::from([("a".into(), "north".into())]),
@@ -299,6 +303,7 @@
         body,
     });
     out.extend(limit_messages(number, time));
+    out.extend(domain_messages(number));
     let server: ServerName = "s1".into();
     out.extend([
         reader_report(number, time, None),
@@ -328,6 +333,25 @@
     out
 }
 
+/// Returns messages about demand and spare capacity.
+fn domain_messages(number: u64) -> [Datagram; 3] {
+    let demand = vec![("stock".into(), number as u32)];
+    [
+        Datagram::Demand(mh_route::objects::DemandMsg::Sample {
+            demand: demand.clone(),
+            fractions: None,
+        }),
+        Datagram::Demand(mh_route::objects::DemandMsg::Total {
+            domain: "a".into(),
+            demand,
+        }),
+        Datagram::Capacity {
+            size: number as u32,
+            spare: number as u8,
+        },
+    ]
+}
+
 /// Returns messages of every kind about limits that servers state.
 fn limit_messages(number: u64, time: Duration) -> [Datagram; 4] {
     let statement = mh_limit::Statement {
