Send bodies of unknown length with every method

A request's Transfer-Encoding is a hop-by-hop header and is removed. For GET, HEAD and CONNECT the HTTP library then sends no body of unknown length, so that a server ran another request than its caller sent.

Upload::set_framing names the encoding for each body of unknown length; the gateway and mangohook run call it for each request. The gateway also keeps a Content-Length of 0, which it removed.

Measured: body_and_framing_arrive_with_every_method (gateway; nine methods, four framings) and body_in_chunks_arrives_with_every_method (mangohook run; six methods) fail before and pass.

Trailers are not passed on, and operations and deferrable requests still arrive with a length, because they are read whole first.

--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -387,10 +387,12 @@
     }
 
     fn build_request(&self, parts: &Parts, upload: Upload) -> Request<Upload> {
+        let mut headers = parts.headers.clone();
+        upload.set_framing(&mut headers);
         let mut req = Request::new(upload);
         *req.method_mut() = parts.method.clone();
         *req.uri_mut() = parts.uri.clone();
-        *req.headers_mut() = parts.headers.clone();
+        *req.headers_mut() = headers;
         let left = self.deadline.left(Instant::now()).as_millis() as u64;
         req.headers_mut().insert(DEADLINE_HEADER, HeaderValue::from(left));
         req
--- a/crates/mh_edge/src/upload.rs
+++ b/crates/mh_edge/src/upload.rs
@@ -6,7 +6,9 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
+use hyper::HeaderMap;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 use mh_types::{Code, Run};
 use tokio::time::{Instant, Sleep};
 
@@ -87,6 +89,17 @@
         }
     }
 
+    /// Sets the framing of the body in the headers of its request.
+    ///
+    /// For methods that rarely have a body, such as GET, the HTTP library sends no body of unknown length unless the
+    /// headers name its encoding.
+    pub fn set_framing(&self, headers: &mut HeaderMap) {
+        if !self.is_end_stream() && self.size_hint().exact().is_none() {
+            headers.remove(CONTENT_LENGTH);
+            headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+        }
+    }
+
     /// Creates a streamed body of at most `max_bytes`, with at most `idle_timeout` between two chunks.
     pub fn streamed(body: Incoming, max_bytes: u64, idle_timeout: Duration, progress: UploadProgress) -> Self {
         let timer = Box::pin(tokio::time::sleep(idle_timeout));
--- a/crates/mh_gateway/src/request/outgoing.rs
+++ b/crates/mh_gateway/src/request/outgoing.rs
@@ -13,8 +13,11 @@
     for name in [&names.key, &names.organisation, &names.expected_server] {
         parts.headers.remove(name);
     }
-    // The connection sets the length of the body it sends; reading the body here has already met the expectation.
-    parts.headers.remove(CONTENT_LENGTH);
+    // The connection sets the length of the body it sends, but states none for an empty one. Reading the body here has
+    // already met the expectation.
+    if parts.headers.get(CONTENT_LENGTH).is_some_and(|length| length != "0") {
+        parts.headers.remove(CONTENT_LENGTH);
+    }
     parts.headers.remove(EXPECT);
     if let Some(value) = organisation.and_then(|name| HeaderValue::from_str(name).ok()) {
         parts.headers.insert(names.organisation.clone(), value);
@@ -32,10 +35,12 @@
     server: &ServerName,
     upload: Upload,
 ) -> Request<Upload> {
+    let mut headers = head.headers.clone();
+    upload.set_framing(&mut headers);
     let mut req = Request::new(upload);
     *req.method_mut() = head.method.clone();
     *req.uri_mut() = head.uri.clone();
-    *req.headers_mut() = head.headers.clone();
+    *req.headers_mut() = headers;
     let headers = req.headers_mut();
     let remaining_ms = u64::try_from(cx.remaining().as_millis()).unwrap_or(u64::MAX).max(1);
     headers.insert(cx.headers.deadline_ms.clone(), HeaderValue::from(remaining_ms));
--- a/crates/mh_gateway/tests/harness/mod.rs
+++ b/crates/mh_gateway/tests/harness/mod.rs
@@ -51,6 +51,9 @@
     CloseAfter(Duration),
 }
 
+/// Last chunk of a body in chunks.
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
 /// Header that the servers set on every answer.
 const SERVER_STAMP: HeaderName = HeaderName::from_static("stamp");
 
@@ -68,6 +71,8 @@
 struct Script {
     replies: VecDeque<Reply>,
     seen: Vec<String>,
+    /// Bodies of these requests as received, with their framing.
+    bodies: Vec<String>,
     connections: usize,
     /// Bytes sent by endless answers.
     endless_bytes: usize,
@@ -262,6 +267,11 @@
         lock(&self.script).seen.clone()
     }
 
+    /// Returns the bodies that reached a server as a whole, with their framing.
+    pub fn bodies(&self) -> Vec<String> {
+        lock(&self.script).bodies.clone()
+    }
+
     /// Returns the number of endless answers whose connection was closed, and the bytes that they sent.
     pub fn endless(&self) -> (usize, usize) {
         let script = lock(&self.script);
@@ -372,13 +382,16 @@
             let _ = stream.write_all(text.replace("ID", id).as_bytes()).await;
             tokio::time::sleep(EARLY_READ_DELAY).await;
         }
-        while buf.len() < length {
+        // No server is read from after a broken body, and those that hang read nothing themselves.
+        let is_chunked = head.contains("\r\ntransfer-encoding: chunked") && !matches!(reply, Reply::Hang);
+        while buf.len() < length || (is_chunked && !buf.ends_with(LAST_CHUNK)) {
             let Ok(len @ 1..) = stream.read(&mut piece).await else {
                 return;
             };
             buf.push_str(&String::from_utf8_lossy(&piece[..len]));
         }
-        buf.drain(..length);
+        let body = buf.drain(..if is_chunked { buf.len() } else { length }).collect();
+        lock(&script).bodies.push(body);
         match reply {
             Reply::Early(_) => {}
             Reply::Hang => {
--- a/crates/mh_gateway/tests/uploads.rs
+++ b/crates/mh_gateway/tests/uploads.rs
@@ -152,3 +152,42 @@
         assert!(answer.body.contains("\"run\":\"unknown\""), "{path} {answer:?}");
     }
 }
+
+/// Guards against dropping the body of a request, or its framing, for methods that rarely have one: the server would run
+/// another request than the caller sent.
+#[tokio::test]
+async fn body_and_framing_arrive_with_every_method() {
+    let framings = [
+        ("content-length: 0", ""),
+        ("content-length: 10", "0123456789"),
+        ("transfer-encoding: chunked", "5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n"),
+        ("transfer-encoding: chunked", "0\r\n\r\n"),
+    ];
+    for method in [
+        "GET", "HEAD", "DELETE", "OPTIONS", "PATCH", "POST", "PUT", "QUERY", "TRACE",
+    ] {
+        for (framing, body) in framings {
+            let harness = GatewayHarness::start_with_one_server(&[OK]).await;
+            let mut stream = harness.connect().await;
+            let text = format!("{}{framing}\r\n\r\n{body}", head(method, "/safe/x?q=1"));
+            stream.write_all(text.as_bytes()).await.unwrap();
+
+            let answer = GatewayHarness::answer(stream).await;
+
+            let seen = harness.seen();
+            assert_eq!((answer.status, seen.len()), (200, 1), "{method} {framing}: {answer:?}");
+            assert!(seen[0].starts_with(&format!("{method} /safe/x?q=1 ")), "{seen:?}");
+            assert_eq!(seen[0].matches(framing).count(), 1, "{method} {framing}: {seen:?}");
+            let other = if framing.starts_with('c') {
+                "transfer-encoding"
+            } else {
+                "content-length"
+            };
+            assert!(!seen[0].contains(other), "{method} {framing}: {seen:?}");
+            // Chunks may be divided in another way.
+            let digits = |text: &str| text.replace("5\r\n", "").replace("\r\n", "");
+            let received = harness.bodies().concat().replace("a\r\n", "");
+            assert_eq!(digits(&received), digits(body), "{method} {framing}");
+        }
+    }
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -325,3 +325,21 @@
         "{answer}"
     );
 }
+
+/// Guards against dropping the body of a GET request in chunks: the server would run another request than the caller sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_in_chunks_arrives_with_every_method() {
+    let system = TestSystem::start(1).await;
+    let key = system.grant_key("orchard", "till").await;
+    for method in ["GET", "HEAD", "DELETE", "OPTIONS", "POST", "PUT"] {
+        let body = "5\r\n01234\r\n5\r\n56789\r\n0\r\n\r\n";
+
+        let answer = send_chunked(&system, &key, method, body).await;
+
+        let received = system.received_requests().pop().unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{method}: {answer}");
+        assert_eq!(received.target, format!("{method} {STOCK_PATH}"));
+        assert_eq!(received.body, "0123456789", "{method}");
+        assert_eq!(received.headers["transfer-encoding"], "chunked", "{method}");
+    }
+}
