--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -225,10 +225,9 @@
             &SipHasher13::new().hash(body).as_bytes(),
         ]);
         self.fingerprint = Some(fingerprint);
-        self.poison.admit(&fingerprint).map_err(|quarantined| Refusal {
-            retry_after: Some(quarantined.retry_after),
-            ..Refusal::new(Code::RequestQuarantined, Run::NotRun)
-        })
+        let refused = Refusal::new(Code::RequestQuarantined, Run::NotRun);
+        let admitted = self.poison.admit(&fingerprint);
+        admitted.map_err(|quarantined| refused.with_retry_after(Some(quarantined.retry_after)))
     }
 
     /// Records that the connection to a server broke while it had the request.
@@ -388,10 +387,12 @@
     }
 
     fn build_request(&self, parts: &Parts, upload: Upload) -> Request<Upload> {
+        let mut headers = parts.headers.clone();
+        upload.set_framing(&mut headers);
         let mut req = Request::new(upload);
         *req.method_mut() = parts.method.clone();
         *req.uri_mut() = parts.uri.clone();
-        *req.headers_mut() = parts.headers.clone();
+        *req.headers_mut() = headers;
         let left = self.deadline.left(Instant::now()).as_millis() as u64;
         req.headers_mut().insert(DEADLINE_HEADER, HeaderValue::from(left));
         req
