--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -58,6 +58,8 @@
             .map(|vm| json!({"addr": vm.addr, "domain": vm.domain, "size": vm.size, "spare": vm.spare}));
         json!({"size": capacities.size(), "spare": capacities.spare(), "vms": vms.collect::<Vec<_>>()})
     };
+    let admissions = live.admissions.iter();
+    let admissions = admissions.map(|(service, admission)| json!({"service": service, "state": admission.view(now)}));
     json!({
         "vm": node.cfg.vm,
         "domain": node.cfg.domain,
@@ -79,6 +81,7 @@
         "services": services,
         "shifts": shifts.collect::<Vec<_>>(),
         "quotas": quotas.collect::<Vec<_>>(),
+        "admissions": admissions.collect::<Vec<_>>(),
         "limits": node.gateway.limits().with(|limits| limits.view(now)),
         "servers": servers,
     })
--- a/crates/mh_route/src/objects/mod.rs
+++ b/crates/mh_route/src/objects/mod.rs
@@ -55,6 +55,7 @@
 mod server_view;
 mod work_times;
 
+pub(crate) use atomic_f64::AtomicF64;
 pub use demand::{
     DemandDistribution, DemandMeter, DemandMsg, DemandRound, DomainFractions, FleetDemandView, MAX_DOMAIN_STEP,
     MAX_REGION_STEP, ServiceCapacity, next_step, target_fractions,
