Add a stable assignment of objects to servers, off by default

One server or VM more changed the weights of all servers, and moved up to five times the objects that it had to. Slots of servers now occupy cells that depend on their names only, and objects choose by their own order of the cells.

--- a/crates/mh_ctl/src/cli.rs
+++ b/crates/mh_ctl/src/cli.rs
@@ -106,7 +106,7 @@
     },
     /// Shows the state of a gateway VM; `--admin` takes the address of its health port
     Gateway {
-        /// Also lists every backend server
+        /// Also lists every backend server, and the servers of recently requested objects
         #[arg(long)]
         servers: bool,
     },
--- a/crates/mh_ctl/src/command/gateway.rs
+++ b/crates/mh_ctl/src/command/gateway.rs
@@ -63,6 +63,13 @@
     ];
     let mut out: Vec<String> = sections.into_iter().filter(|text| !text.is_empty()).collect();
     if with_servers {
+        let objects = render_section(
+            value,
+            "objects",
+            &["OBJECT", "SERVICE", "CHOICES"],
+            &["object", "service", "servers"],
+        );
+        out.extend(Some(objects).filter(|text| !text.is_empty()));
         out.push(render_section(
             value,
             "servers",
--- a/crates/mh_gateway/src/control/backend_inputs.rs
+++ b/crates/mh_gateway/src/control/backend_inputs.rs
@@ -1,7 +1,7 @@
 use mh_route::objects::{ListedServer, RegionDistribution};
 use tokio::time::Instant;
 
-use crate::{Bounds, PlanService, ServiceBackends};
+use crate::{Assignment, Bounds, PlanService, ServiceBackends};
 
 /// Inputs from which the backends of one service are built; they are rebuilt only when an input changes.
 #[derive(Clone, Debug, PartialEq)]
@@ -12,12 +12,13 @@
     pub(super) bounds: Bounds,
     /// Number of VMs that share limits.
     pub(super) vms: u32,
+    pub(super) assignment: Assignment,
 }
 
 impl BackendInputs {
     /// Builds the backends; connections and observations of `previous` are kept.
     pub(super) fn build(&self, previous: Option<&ServiceBackends>, now: Instant) -> ServiceBackends {
-        ServiceBackends::new(
+        let built = ServiceBackends::new(
             &self.service,
             &self.servers,
             previous,
@@ -25,6 +26,10 @@
             &self.places,
             &self.bounds,
             now,
-        )
+        );
+        match self.assignment {
+            Assignment::Rendezvous => built,
+            Assignment::Stable => built.with_stable_assignment(previous),
+        }
     }
 }
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -1,5 +1,6 @@
 mod departed;
 mod live;
+mod planned_drains;
 mod restored;
 mod snapshot;
 
@@ -15,8 +16,10 @@
 use super::known_server::KnownServer;
 use super::shift_controller::ShiftController;
 use crate::{
-    AnnouncedVm, Batch, Bounds, Feed, Plan, RegisteredServer, ShiftOrder, ShiftRecord, StoredQuarantine, Update,
+    AnnouncedVm, Assignment, Batch, Bounds, Feed, PlacementSettings, Plan, RegisteredServer, ShiftOrder, ShiftRecord,
+    StoredQuarantine, Update,
 };
+use planned_drains::PlannedDrains;
 use restored::RestoredState;
 
 /// This VM's state of the deployment, built from the feeds of the source.
@@ -28,6 +31,8 @@
     plan: Option<Arc<Plan>>,
     servers: BTreeMap<ServerName, KnownServer>,
     drained: HashSet<DomainName>,
+    planned_drains: PlannedDrains,
+    assignment: Assignment,
     vms: BTreeMap<VmName, AnnouncedVm>,
     known_versions: HashMap<ServiceName, HashSet<VersionName>>,
     /// Feeds that were read at least once.
@@ -59,6 +64,8 @@
             plan: None,
             servers: BTreeMap::new(),
             drained: HashSet::new(),
+            planned_drains: PlannedDrains::default(),
+            assignment: Assignment::default(),
             vms: BTreeMap::new(),
             known_versions: HashMap::new(),
             read_feeds: HashSet::new(),
@@ -75,6 +82,16 @@
         }
     }
 
+    /// Sets how requests are placed on servers.
+    #[must_use]
+    pub fn with_placement(mut self, placement: PlacementSettings) -> Self {
+        self.assignment = placement.assignment;
+        if placement.assignment == Assignment::Stable {
+            self.planned_drains = PlannedDrains::new(placement.drain_spread);
+        }
+        self
+    }
+
     /// Replaces the bounds and regions after a reload of the settings file.
     pub fn reload(&mut self, bounds: Bounds, regions: BTreeMap<DomainName, RegionName>) {
         self.bounds = bounds;
@@ -97,8 +114,17 @@
         }
         self.read_feeds.insert(feed);
         for update in &batch.updates {
+            // A full read does not show when the drain began.
+            if let Update::Drained(domain, true) = update
+                && !is_whole
+                && !self.drained.contains(domain)
+            {
+                self.planned_drains.on_start(domain, now);
+            }
             self.update(update, now);
         }
+        let drained = &self.drained;
+        self.planned_drains.retain(|domain| drained.contains(domain));
     }
 
     /// Records that changes of `feed` no longer arrive.
@@ -161,7 +187,10 @@
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let servers = self.servers.values();
         let times = servers.flat_map(|server| [server.removed_at, Some(server.version_open_at)]);
-        let times = times.flatten().chain(self.restored.deadlines());
+        let times = times
+            .flatten()
+            .chain(self.restored.deadlines())
+            .chain(self.planned_drains.steps());
         times.filter(|at| *at > now).min()
     }
 
--- a/crates/mh_gateway/src/control/deployment_state/live.rs
+++ b/crates/mh_gateway/src/control/deployment_state/live.rs
@@ -2,14 +2,32 @@
 use std::sync::Arc;
 
 use mh_route::ServerSpec;
+use mh_route::objects::assignment::MoveCounts;
 use mh_route::objects::{ListedServer, RegionDistribution, WorkTimes};
-use mh_types::{RegionName, ServiceName};
+use mh_types::{Event, RegionName, ServiceName, emit};
 use tokio::time::Instant;
 
 use super::DeploymentState;
 use crate::control::backend_inputs::BackendInputs;
 use crate::control::known_server::KnownServer;
-use crate::{Feed, LiveState};
+use crate::{Feed, LiveState, ServiceBackends};
+
+/// Builds the backends of a service, and logs the objects that a change of the server list moved, if it moved any.
+fn build_backends(inputs: &BackendInputs, previous: Option<&ServiceBackends>, now: Instant) -> ServiceBackends {
+    let totals = |backends: &ServiceBackends| backends.pool.moves().map(MoveCounts::totals);
+    let before = previous.and_then(totals).unwrap_or_default();
+    let built = inputs.build(previous, now);
+    let after = totals(&built).unwrap_or_default();
+    if after.moved_ppm > before.moved_ppm {
+        emit!(
+            Event::ObjectsMoved,
+            service = inputs.service.name,
+            moved_ppm = after.moved_ppm - before.moved_ppm,
+            minimum_ppm = after.minimum_ppm - before.minimum_ppm
+        );
+    }
+    built
+}
 
 impl DeploymentState {
     /// Builds the state that requests use. `vms` is the number of VMs that share limits; connections and observations
@@ -28,6 +46,7 @@
                 places: places.clone(),
                 bounds: self.bounds,
                 vms,
+                assignment: self.assignment,
             };
             let kept = previous.backends.get(&service.name);
             let same = self
@@ -36,7 +55,7 @@
                 .filter(|held| *held == backend_inputs);
             let backends = match (same, kept) {
                 (Some(_), Some(kept)) => Arc::clone(kept),
-                _ => Arc::new(backend_inputs.build(kept.map(Arc::as_ref), now)),
+                _ => Arc::new(build_backends(&backend_inputs, kept.map(Arc::as_ref), now)),
             };
             built.insert(service.name.clone(), (backend_inputs, backends));
         }
@@ -87,6 +106,12 @@
             if !self.is_version_open(server, now) {
                 continue;
             }
+            let is_drained = self.drained.contains(&entry.domain);
+            let kept_percent = if is_drained {
+                self.planned_drains.kept_percent(&entry.domain, now)
+            } else {
+                100
+            };
             out.entry(entry.service.clone()).or_default().push(ListedServer {
                 spec: ServerSpec {
                     name: name.clone(),
@@ -98,7 +123,8 @@
                     connections: 0,
                 },
                 run: entry.run,
-                leaving: entry.leaving || self.drained.contains(&entry.domain),
+                leaving: entry.leaving || kept_percent == 0,
+                kept_percent,
                 cold_until: server.cold_until.filter(|until| *until > now),
             });
         }
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -122,7 +122,9 @@
             gateway: Arc::new(gateway.with_buffer_limit(buffer_bytes)),
             interface,
             source,
-            deployment: Mutex::new(DeploymentState::new(cfg.region.clone(), regions, bounds)),
+            deployment: Mutex::new(
+                DeploymentState::new(cfg.region.clone(), regions, bounds).with_placement(cfg.placement),
+            ),
             membership: Mutex::new(new_membership(&cfg, &bounds, incarnation)),
             quotas: Mutex::new(QuotaController::new(identity, Instant::now())),
             relay: Relay::new(cfg.vm.clone(), bounds.settings_in_force, Instant::now()),
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Weak};
 
 use mh_admin::{Metric, Metrics};
+use mh_route::objects::assignment::MoveTotals;
 
 use super::GatewayNode;
 use crate::Feed;
@@ -41,7 +42,7 @@
             read: Arc::new(move || node.upgrade().map_or(0, |node| read(&node))),
         }
     };
-    Metrics::new(vec![
+    let mut metrics = vec![
         counter("requests", "Requests that reached the caller port", |c| &c.requests),
         counter("served", "Requests answered by a backend server", |c| &c.served),
         counter("refused", "Requests refused as not run", |c| &c.refused),
@@ -112,5 +113,47 @@
         gauge("sharing_vms", "VMs that limits are divided by", |node| {
             u64::from(node.sharing_vms())
         }),
-    ])
+    ];
+    metrics.extend(move_metrics(&node));
+    Metrics::new(metrics)
+}
+
+/// Returns the metrics of objects that changes of the server lists moved; see [`MoveTotals`].
+fn move_metrics(node: &Weak<GatewayNode>) -> Vec<Metric> {
+    let move_total = |name, help, select: fn(&MoveTotals) -> u64| {
+        let node = Weak::clone(node);
+        let read = move || {
+            node.upgrade().map_or(0, |node| {
+                let live = node.gateway.live();
+                let totals = live
+                    .backends
+                    .values()
+                    .filter_map(|backends| Some(backends.pool.moves()?.totals()));
+                totals.map(|totals| select(&totals)).sum()
+            })
+        };
+        Metric {
+            name,
+            help,
+            is_counter: true,
+            read: Arc::new(read),
+        }
+    };
+    vec![
+        move_total(
+            "object_list_changes",
+            "Changes of the server lists that changed shares of objects",
+            |totals| totals.changes,
+        ),
+        move_total(
+            "objects_moved_ppm",
+            "Objects that such changes moved, in millionths of a service's objects",
+            |totals| totals.moved_ppm,
+        ),
+        move_total(
+            "objects_moved_minimum_ppm",
+            "Objects that such changes had to move, in millionths",
+            |totals| totals.minimum_ppm,
+        ),
+    ]
 }
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -1,3 +1,4 @@
+use mh_route::objects::assignment::MoveCounts;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
@@ -10,6 +11,7 @@
     let live = node.gateway.live();
     let mut services = Vec::new();
     let mut servers = Vec::new();
+    let mut objects = Vec::new();
     for (name, backends) in &live.backends {
         let view = backends.pool.view(now);
         let count = |is: fn(&mh_route::objects::ObjectServerView) -> bool| view.iter().filter(|s| is(s)).count();
@@ -20,6 +22,14 @@
             "cold": count(|server| server.cold),
             "closed": count(|server| server.closed),
             "slots": backends.pool.slots(),
+            "moves": backends.pool.moves().map(MoveCounts::totals),
+        }));
+        objects.extend(backends.pool.object_views(now).into_iter().map(|object| {
+            let servers = object
+                .servers
+                .iter()
+                .map(|choice| format!("{}: {}", choice.server, choice.why));
+            json!({"service": name, "object": object.object, "servers": servers.collect::<Vec<_>>().join("; ")})
         }));
         servers.extend(view.iter().map(|server| {
             let mut value = json!(server);
@@ -61,5 +71,6 @@
         "quotas": quotas.collect::<Vec<_>>(),
         "limits": node.gateway.limits().with(|limits| limits.view(now)),
         "servers": servers,
+        "objects": objects,
     })
 }
--- a/crates/mh_gateway/src/service_backends.rs
+++ b/crates/mh_gateway/src/service_backends.rs
@@ -70,6 +70,15 @@
         }
     }
 
+    /// Assigns objects to servers by the stable assignment; see [`ObjectPool::with_stable_assignment`].
+    #[must_use]
+    pub fn with_stable_assignment(mut self, previous: Option<&Self>) -> Self {
+        self.pool = self
+            .pool
+            .with_stable_assignment(previous.map(|previous| &previous.pool));
+        self
+    }
+
     /// Returns the connections to a server.
     pub fn connections(&self, server: &ServerName) -> Option<&Arc<ConnectionPool>> {
         self.connections.get(server)
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use mh_types::{DomainName, RegionName, VmName};
 use serde::Deserialize;
 
-use crate::{Bounds, time_text};
+use crate::{Bounds, PlacementSettings, time_text};
 
 /// Settings of the process of a gateway VM, read from YAML.
 #[derive(Clone, Debug, Deserialize)]
@@ -35,6 +35,9 @@
     /// Bounds over the whole fleet; missing ones have the default values.
     #[serde(default)]
     pub promises: BoundSettings,
+    /// Placement of requests on servers.
+    #[serde(default)]
+    pub placement: PlacementSettings,
     /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
     #[serde(default = "default_log_level")]
     pub log: log::LevelFilter,
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -155,6 +155,7 @@
         descriptors: 256,
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
         promises: BoundSettings::default(),
+        placement: mh_gateway::PlacementSettings::default(),
         log: log::LevelFilter::Off,
     }
 }
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -184,6 +184,7 @@
             descriptors: 256,
             regions: BTreeMap::from([("a".into(), "north".into())]),
             promises: BoundSettings::default(),
+            placement: crate::PlacementSettings::default(),
             log: log::LevelFilter::Off,
         };
         match GatewayNode::start(
--- a/crates/mh_route/src/objects/listed_server.rs
+++ b/crates/mh_route/src/objects/listed_server.rs
@@ -12,6 +12,9 @@
     pub run: u64,
     /// Whether the server takes no new requests.
     pub leaving: bool,
+    /// Part of its objects that the server keeps while a planned drain moves them to others, in percent; 100 without a
+    /// drain. Only the stable assignment uses it.
+    pub kept_percent: u8,
     /// End of the time in which the server is cold and must get few requests.
     pub cold_until: Option<Instant>,
 }
@@ -23,6 +26,7 @@
             spec,
             run: 0,
             leaving: false,
+            kept_percent: 100,
             cold_until: None,
         }
     }
--- a/crates/mh_route/src/objects/mod.rs
+++ b/crates/mh_route/src/objects/mod.rs
@@ -37,12 +37,14 @@
 //! placement.done(now, Outcome::Answered { status: 200, latency: Duration::from_millis(90) });
 //! ```
 
+pub mod assignment;
 mod cold_rate_limiter;
 mod listed_server;
 mod object_request;
 mod placement;
 mod placement_error;
 mod pool;
+mod pool_assignment;
 mod recent_objects;
 mod region_distribution;
 mod rendezvous;
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -7,6 +7,8 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use super::assignment::{MoveCounts, ObjectChoiceView, ObjectView};
+use super::pool_assignment::{PoolAssignment, Share};
 use super::rendezvous::{score, weight};
 use super::server_stats::ObjectServerStats;
 use super::{ListedServer, ObjectRequest, ObjectServerView, Placement, PlacementError, RegionDistribution};
@@ -44,6 +46,8 @@
     index_by_name: HashMap<ServerName, usize>,
     /// Time between two requests of this VM to one cold server.
     cold_gap: Micros,
+    /// Present if the deployment uses the stable assignment instead of rendezvous hashing over all servers.
+    assignment: Option<PoolAssignment>,
 }
 
 #[derive(Debug)]
@@ -51,6 +55,7 @@
     spec: Arc<ServerSpec>,
     run: u64,
     leaving: bool,
+    kept_percent: u8,
     /// Relative weight of this server as the first choice of this VM's objects.
     object_weight: f64,
     stats: Arc<ObjectServerStats>,
@@ -120,6 +125,7 @@
                 spec: Arc::new(listed.spec.clone()),
                 run: listed.run,
                 leaving: listed.leaving,
+                kept_percent: listed.kept_percent,
                 object_weight: slot_weights.get(&listed.spec.region).copied().unwrap_or_default()
                     * f64::from(listed.spec.slots),
                 stats,
@@ -133,9 +139,29 @@
             index_by_name: indices.collect(),
             servers,
             cold_gap,
+            assignment: None,
         }
     }
 
+    /// Orders the servers of an object by a [stable assignment](super::assignment), which moves few objects when
+    /// servers are added and removed. `previous` is the pool before the change, whose counts of moves are continued.
+    #[must_use]
+    pub fn with_stable_assignment(mut self, previous: Option<&Self>) -> Self {
+        let shares: Vec<Share<'_>> = self
+            .servers
+            .iter()
+            .map(|server| Share {
+                name: &server.spec.name,
+                slots: if server.leaving { 0 } else { server.spec.slots.max(1) },
+                slot_weight: server.object_weight / f64::from(server.spec.slots.max(1)),
+                kept: f64::from(server.kept_percent) / 100.0,
+            })
+            .collect();
+        let previous = previous.and_then(|previous| previous.assignment.as_ref());
+        self.assignment = Some(PoolAssignment::new(&shares, previous));
+        self
+    }
+
     /// Chooses the server with the earliest predicted response and counts the request in flight there.
     ///
     /// # Errors
@@ -194,6 +220,9 @@
     /// capacity of the regions, or to the next server in an order that does not depend on it, so that a region at its
     /// capacity overflows to all others.
     fn candidates(&self, object: u64, request: &ObjectRequest<'_>, at: Micros) -> SmallVec<[Candidate; 16]> {
+        if let Some(candidates) = self.assigned_candidates(request, at) {
+            return candidates;
+        }
         let mut out: SmallVec<[Candidate; 16]> = SmallVec::new();
         let mut first: Option<(f64, usize)> = None;
         for (index, server) in self.servers.iter().enumerate() {
@@ -230,6 +259,87 @@
         out
     }
 
+    /// Servers that the request may be sent to by the stable assignment. `None` for requests without an object, packed
+    /// requests, and if too few usable servers are near the front of the object's order; all servers are then compared.
+    fn assigned_candidates(&self, request: &ObjectRequest<'_>, at: Micros) -> Option<SmallVec<[Candidate; 16]>> {
+        let assignment = self.assignment.as_ref()?;
+        let object = request.object.filter(|_| !request.pack)?;
+        assignment.note(object);
+        let may_use = |index: usize| allows(&self.servers[index], request);
+        let is_open = |index: usize, is_first: bool| {
+            let Server {
+                spec,
+                stats,
+                kept_percent,
+                ..
+            } = &self.servers[index];
+            // A server that is being drained gets no objects as their second choice.
+            (is_first || *kept_percent >= 100)
+                && !request.exclude.contains(&spec.name)
+                && stats.accepts_requests(at)
+                && stats.cold_limiter.allows_request(at)
+                && stats.full_for(at) == 0
+        };
+        let (first, open) = assignment
+            .table()
+            .choices(object, MAX_SERVERS_PER_OBJECT, may_use, is_open);
+        let first = first?;
+        let candidates: SmallVec<[Candidate; 16]> = open
+            .into_iter()
+            .enumerate()
+            .map(|(position, index)| Candidate {
+                index,
+                weight: u64::MAX >> position,
+                is_first: index == first,
+            })
+            .collect();
+        (candidates.len() == MAX_SERVERS_PER_OBJECT).then_some(candidates)
+    }
+
+    /// Moves of objects between servers; `None` without a stable assignment.
+    pub fn moves(&self) -> Option<&MoveCounts> {
+        self.assignment.as_ref().map(PoolAssignment::counts)
+    }
+
+    /// Servers of some recently requested objects, for the state dump; empty without a stable assignment.
+    pub fn object_views(&self, now: Instant) -> Vec<ObjectView> {
+        let at = self.clock.micros(now);
+        let assignment = self.assignment.iter();
+        let objects = assignment.flat_map(|assignment| assignment.recent().map(move |object| (assignment, object)));
+        objects
+            .map(|(assignment, object)| {
+                let first = assignment.table().first(object, |_| true);
+                let others = |index: usize| Some(index) != first;
+                let others = assignment.table().servers(object, MAX_SERVERS_PER_OBJECT, others);
+                let choice = |(index, reasons): (usize, [&'static str; 4])| {
+                    let Server { spec, stats, .. } = &self.servers[index];
+                    let [usable, cold, closed, full] = reasons;
+                    let why = if !stats.accepts_requests(at) {
+                        closed
+                    } else if stats.cold_limiter.is_cold(at) {
+                        cold
+                    } else if stats.full_for(at) > 0 {
+                        full
+                    } else {
+                        usable
+                    };
+                    ObjectChoiceView {
+                        server: spec.name.clone(),
+                        why,
+                    }
+                };
+                let firsts = first.map(|index| (index, ["first", "first, cold", "first, closed", "first, full"]));
+                let nexts = others
+                    .into_iter()
+                    .map(|index| (index, ["next", "next, cold", "next, closed", "next, full"]));
+                ObjectView {
+                    object: format!("{object:016x}"),
+                    servers: firsts.into_iter().chain(nexts).map(choice).collect(),
+                }
+            })
+            .collect()
+    }
+
     /// Whether a cold server could serve the request later, once its rate limit allows it.
     fn has_cold_server(&self, request: &ObjectRequest<'_>, at: Micros) -> bool {
         let may_serve =
--- a/crates/mh_route/tests/load/mod.rs
+++ b/crates/mh_route/tests/load/mod.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Copy)]
 pub enum Policy {
     ByObject,
+    /// By object, with the stable assignment.
+    ByStableObject,
     Random,
     LeastBusy,
 }
@@ -80,7 +82,10 @@
             server
         })
         .collect();
-    let pool = ObjectPool::new(&listed, None, 0.0, 1, &RegionDistribution::default(), start);
+    let mut pool = ObjectPool::new(&listed, None, 0.0, 1, &RegionDistribution::default(), start);
+    if matches!(policy, Policy::ByStableObject) {
+        pool = pool.with_stable_assignment(None);
+    }
     let work_times = Arc::new(WorkTimes::new(Duration::from_millis(TARGET_MS)));
     let mut servers: Vec<Server> = (0..SERVERS).map(|_| Server::default()).collect();
     let mut responses: BTreeMap<(u64, usize), (Placement, u64, usize)> = BTreeMap::new();
@@ -99,7 +104,7 @@
             Policy::LeastBusy => (0..SERVERS)
                 .min_by_key(|s| servers[*s].load(now))
                 .map(|server| (server, None)),
-            Policy::ByObject => {
+            Policy::ByObject | Policy::ByStableObject => {
                 let request = ObjectRequest::new(Some(object), Duration::from_millis(TIMEOUT_MS), &work_times);
                 pool.place(at(now), &request, rng.random()).ok().map(|placement| {
                     let name = &placement.spec().name;
--- a/crates/mh_route/tests/objects.rs
+++ b/crates/mh_route/tests/objects.rs
@@ -343,6 +343,25 @@
     );
 }
 
+/// Guards against the stable assignment losing requests to uneven load: it must do better than a random choice and
+/// than the least busy server by as much as the placement by rendezvous hashing has to.
+#[test]
+fn stable_assignment_answers_more_requests_in_time() {
+    let stable = load::simulate(load::Policy::ByStableObject);
+    let random = load::simulate(load::Policy::Random);
+    let least_busy = load::simulate(load::Policy::LeastBusy);
+
+    println!(
+        "in time of {}: stable {stable}, random {random}, least busy {least_busy}",
+        load::REQUESTS
+    );
+    assert!(stable > load::REQUESTS * 8 / 10, "{stable}");
+    assert!(
+        stable > random * 3 / 2 && stable > least_busy * 3 / 2,
+        "{stable} {random} {least_busy}"
+    );
+}
+
 /// Guards against the VMs of a large fleet having outdated estimates of the servers' queues, as each sends a request to
 /// each server only every few seconds.
 #[test]
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -63,6 +63,7 @@
     ServerLimitInvalid = 307, Warn, "The limit that a backend server stated cannot be used.";
     ServerCrashed = 308, Warn, "A backend server went down while it ran requests of this VM.";
     RequestQuarantined = 309, Warn, "A request is in quarantine because it crashes backend servers, or no longer.";
+    ObjectsMoved = 310, Info, "A change of the server list moved objects of a service to other servers.";
     SettingsApplied = 400, Info, "A settings revision is in force on this VM.";
     SettingsRejected = 401, Error, "A settings revision could not be applied; the previous one stays in force.";
     NotCurrent = 402, Warn, "This VM can no longer confirm that its settings are current.";
