--- a/crates/mh_gateway/src/control/demand_reports.rs
+++ b/crates/mh_gateway/src/control/demand_reports.rs
@@ -13,7 +13,7 @@
     /// Takes the measured demand and exchanges it with other VMs, where the settings ask for it. Called every
     /// [`DemandDistribution::ROUND`](mh_route::objects::DemandDistribution::ROUND).
     pub(crate) fn run_demand_round(&self, now: Instant) {
-        if self.cfg.placement != PlacementMode::MeasuredDemand || self.gateway.is_leaving() {
+        if self.cfg.placement.distribution != PlacementMode::MeasuredDemand || self.gateway.is_leaving() {
             return;
         }
         let live = self.gateway.live();
@@ -48,7 +48,8 @@
 
     /// Handles a message about demand.
     pub(crate) fn on_demand_msg(&self, from: &VmName, msg: &DemandMsg, now: Instant) {
-        if self.cfg.placement == PlacementMode::MeasuredDemand && lock(&self.demand).on_msg(now, from, msg) {
+        if self.cfg.placement.distribution == PlacementMode::MeasuredDemand && lock(&self.demand).on_msg(now, from, msg)
+        {
             self.apply_fractions(now);
         }
     }
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -4,6 +4,7 @@
 
 use mh_admin::{Metric, Metrics};
 use mh_edge::PipelineLoad;
+use mh_route::objects::assignment::MoveTotals;
 
 use super::{GatewayNode, lock};
 use crate::Feed;
@@ -112,6 +113,7 @@
     ]);
     metrics.extend(pipelining_metrics(&node));
     metrics.extend(placement_metrics(gauge));
+    metrics.extend(move_metrics(&node));
     Metrics::new(metrics)
 }
 
@@ -233,3 +235,43 @@
         ),
     ]
 }
+
+/// Returns the metrics of objects that changes of the server lists moved; see [`MoveTotals`].
+fn move_metrics(node: &Weak<GatewayNode>) -> Vec<Metric> {
+    let move_total = |name, help, select: fn(&MoveTotals) -> u64| {
+        let node = Weak::clone(node);
+        let read = move || {
+            node.upgrade().map_or(0, |node| {
+                let live = node.gateway.live();
+                let totals = live
+                    .backends
+                    .values()
+                    .filter_map(|backends| Some(backends.pool.moves()?.totals()));
+                totals.map(|totals| select(&totals)).sum()
+            })
+        };
+        Metric {
+            name,
+            help,
+            is_counter: true,
+            read: Arc::new(read),
+        }
+    };
+    vec![
+        move_total(
+            "object_list_changes",
+            "Changes of the server lists that changed shares of objects",
+            |totals| totals.changes,
+        ),
+        move_total(
+            "objects_moved_ppm",
+            "Objects that such changes moved, in millionths of a service's objects",
+            |totals| totals.moved_ppm,
+        ),
+        move_total(
+            "objects_moved_minimum_ppm",
+            "Objects that such changes had to move, in millionths",
+            |totals| totals.minimum_ppm,
+        ),
+    ]
+}
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -6,7 +6,7 @@
 use mh_types::{DomainName, RegionName, VmName};
 use serde::Deserialize;
 
-use crate::{Bounds, time_text};
+use crate::{Bounds, PlacementSettings, time_text};
 
 /// Settings of the process of a gateway VM, read from YAML.
 #[derive(Clone, Debug, Deserialize)]
@@ -31,9 +31,9 @@
     /// Whether the whole fleet starts for the first time, so that no VM is listed yet.
     #[serde(default)]
     pub first_start: bool,
-    /// How the objects of callers are distributed over failure domains.
+    /// Placement of requests on servers.
     #[serde(default)]
-    pub placement: PlacementMode,
+    pub placement: PlacementSettings,
     /// Which VMs look-ups return.
     #[serde(default)]
     pub lookups: LookupMode,
--- a/crates/mh_gateway/tests/domains.rs
+++ b/crates/mh_gateway/tests/domains.rs
@@ -53,7 +53,7 @@
     };
     for n in 0..4 {
         let (node, caller_port, listen) = start_with(&store, n, |cfg| {
-            cfg.placement = PlacementMode::MeasuredDemand;
+            cfg.placement.distribution = PlacementMode::MeasuredDemand;
             cfg.lookups = LookupMode::Domain;
             cfg.cpu_share = Some(if n == 1 { 5.0 } else { 1.0 });
         })
@@ -81,5 +81,5 @@
         demand.is_some_and(|demand| demand.len() == 2)
     })
     .await;
-    assert_eq!(settings(0).placement, PlacementMode::Region);
+    assert_eq!(settings(0).placement.distribution, PlacementMode::Region);
 }
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -161,7 +161,6 @@
         threads: 1,
         memory_mb: 128,
         first_start: false,
-        placement: mh_gateway::PlacementMode::default(),
         lookups: mh_gateway::LookupMode::default(),
         cpu_share: None,
         link_mbps: None,
@@ -169,6 +168,7 @@
         pipelining: mh_edge::PipelineBounds::default(),
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
         promises: BoundSettings::default(),
+        placement: mh_gateway::PlacementSettings::default(),
         log: log::LevelFilter::Off,
     }
 }
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -182,7 +182,10 @@
             threads: 1,
             memory_mb: 128,
             first_start: false,
-            placement: crate::PlacementMode::MeasuredDemand,
+            placement: crate::PlacementSettings {
+                distribution: crate::PlacementMode::MeasuredDemand,
+                ..crate::PlacementSettings::default()
+            },
             lookups: crate::LookupMode::Domain,
             cpu_share: None,
             link_mbps: None,
@@ -190,6 +193,7 @@
             pipelining: mh_edge::PipelineBounds::default(),
             regions: BTreeMap::from([("a".into(), "north".into())]),
             promises: BoundSettings::default(),
+            placement: crate::PlacementSettings::default(),
             log: log::LevelFilter::Off,
         };
         match GatewayNode::start(
--- a/crates/mh_route/src/objects/mod.rs
+++ b/crates/mh_route/src/objects/mod.rs
@@ -37,6 +37,7 @@
 //! placement.done(now, Outcome::Answered { status: 200, latency: Duration::from_millis(90) });
 //! ```
 
+pub mod assignment;
 mod atomic_f64;
 mod cold_rate_limiter;
 mod demand;
@@ -46,6 +47,7 @@
 mod placement;
 mod placement_error;
 mod pool;
+mod pool_assignment;
 mod recent_objects;
 mod region_distribution;
 mod rendezvous;
