Pass on only answers with a status of 200 to 599

The HTTP library accepts any status of three digits, and passes 101 on although no request asks for another protocol. A faulty server's 600, 999 or 101 reached the caller, and mangohook run took such an answer to a deferrable request for a delivery, so that the request was lost.

Such an answer is now invalid (2007, 502): the request may have run, an idempotent one is sent to another server, and a deferrable one is stored. A "not run" header beside such a status is not believed. The status of an operation's answer from another VM is checked too, as earlier versions accept all.

Other paths, read in the code: an answer through a tunnel of another VM takes the same way as a direct one; a request for a tunnel accepts 200 and 502 only; the clients of both stores take each status that they do not name for an error or an unknown outcome; VMs send no health checks to servers.

Measured: invalid_status_is_not_passed_on (gateway, 16 status lines; mangohook run, requests and operations) and a_request_answered_with_an_invalid_status_is_not_delivered fail before and pass. The unit test of operations' answers was not run before. All tests of mh_edge and mh_gateway, and whole_path, deferred, bad_input and tunnelled_answers pass.

--- a/crates/mh_edge/src/forward.rs
+++ b/crates/mh_edge/src/forward.rs
@@ -20,6 +20,7 @@
 use crate::connection_pool::{ANY_IDLE_TIME, Connection};
 use crate::deadline::Deadline;
 use crate::dial::DirectDial;
+use crate::final_status::is_final_status;
 use crate::headers::{DEADLINE_HEADER, REQUEST_ID_HEADER, bearer_key, strip_hop_by_hop, strip_private};
 use crate::operations::{OperationRunner, read_answer};
 use crate::refusal::Refusal;
@@ -422,7 +423,7 @@
         {
             return Err(self.fail(picked, Outcome::Failed, unknown(Code::AnswerMismatch)));
         }
-        if !has_known_end(&parts.method, &response) {
+        if !is_final_status(response.status()) || !has_known_end(&parts.method, &response) {
             return Err(self.fail(picked, Outcome::Failed, unknown(Code::AnswerInvalid)));
         }
         if let Some(fingerprint) = &self.fingerprint {
--- a/crates/mh_edge/src/operations/answer.rs
+++ b/crates/mh_edge/src/operations/answer.rs
@@ -7,6 +7,7 @@
 use mh_types::Code;
 
 use crate::BufferBudget;
+use crate::final_status::is_final_status;
 use crate::response_body::ResponseBody;
 
 /// Largest answer of an operation, in bytes; typical answers, such as those to orders and charges, are far smaller.
@@ -66,10 +67,14 @@
     }
 }
 
-/// Builds the HTTP response from the stored answer of an operation.
+/// Builds the HTTP response from the stored answer of an operation, which another VM may have received.
 pub(crate) fn to_response(status: u16, headers: &[(String, Bytes)], body: Bytes) -> Response<ResponseBody> {
     let mut answer = Response::new(ResponseBody::buffered(body));
-    *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    // A VM of an earlier version accepts invalid statuses from its servers.
+    let status = StatusCode::from_u16(status)
+        .ok()
+        .filter(|status| is_final_status(*status));
+    *answer.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in headers {
         let name = HeaderName::try_from(name.as_str());
         if let (Ok(name), Ok(value)) = (name, HeaderValue::from_maybe_shared(value.clone())) {
@@ -78,3 +83,7 @@
     }
     answer
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/answer.rs"]
+mod tests;
--- a/crates/mh_gateway/src/request/answer_kind.rs
+++ b/crates/mh_gateway/src/request/answer_kind.rs
@@ -1,5 +1,6 @@
 use hyper::StatusCode;
 use hyper::http::response::Parts as Head;
+use mh_edge::is_final_status;
 use mh_route::Outcome;
 use mh_types::Code;
 
@@ -11,8 +12,8 @@
     NotRun(Code, Outcome),
     /// The answer carries no request id or that of another request.
     Mismatched,
-    /// A success without the header that every backend server sets.
-    MissingServerHeader,
+    /// No final status, or a success without the header that every backend server sets.
+    Invalid,
     /// The answer to this request.
     Valid,
 }
@@ -31,9 +32,10 @@
         Some(id) if *id != cx.id_header => AnswerKind::Mismatched,
         // On a reused connection, a refusal without an id may be a late one for an earlier request.
         None if !is_not_run || reused => AnswerKind::Mismatched,
+        _ if !is_final_status(head.status) => AnswerKind::Invalid,
         _ if is_misdirected => AnswerKind::NotRun(Code::ServerLeaving, Outcome::Failed),
         _ if is_not_run => AnswerKind::NotRun(Code::NoCapacity, Outcome::Shed),
-        _ if head.status.is_success() && !has_stamp => AnswerKind::MissingServerHeader,
+        _ if head.status.is_success() && !has_stamp => AnswerKind::Invalid,
         _ => AnswerKind::Valid,
     }
 }
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -239,7 +239,7 @@
                 attempt.lost(Code::AnswerMismatch),
             ));
         }
-        AnswerKind::MissingServerHeader => {
+        AnswerKind::Invalid => {
             return Err(end_attempt(
                 cx,
                 placement,
--- a/crates/mh_gateway/tests/troubled_servers.rs
+++ b/crates/mh_gateway/tests/troubled_servers.rs
@@ -490,3 +490,58 @@
 
     assert_eq!((answer.status, harness.seen().len()), (200, 2), "{answer:?}");
 }
+
+/// Statuses that no final answer has: those that the HTTP library rejects, and those that it accepts.
+const INVALID_STATUS_LINES: [&str; 16] = [
+    "HTTP/1.1 000 X",
+    "HTTP/1.1 0 X",
+    "HTTP/1.1 00 X",
+    "HTTP/1.1 001 X",
+    "HTTP/1.1 099 X",
+    "HTTP/1.1 1000 X",
+    "HTTP/1.1 -20 X",
+    "HTTP/1.1 2a0 X",
+    "HTTP/1.1",
+    "HTTP/7.3 200 OK",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 600 X",
+    "HTTP/1.1 700 X",
+    "HTTP/1.1 799 X",
+    "HTTP/1.1 900 X",
+    "HTTP/1.1 999 X",
+];
+
+/// Guards against passing on an invalid status of a faulty server, and against taking such an answer for one that says
+/// that the request has not run.
+#[tokio::test]
+async fn invalid_status_is_not_passed_on() {
+    for line in INVALID_STATUS_LINES {
+        for more in ["", "mangohook-not-run: 1\r\n"] {
+            let text = "mangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 6\r\n\r\nsecret";
+            let reply = Reply::Keep(format!("{line}\r\n{more}{text}").leak());
+            let harness = GatewayHarness::start(&[reply]).await;
+            let read = harness.get("/safe/x").await;
+            let read_seen = harness.seen().len();
+            let harness = GatewayHarness::start(&[reply]).await;
+            let paid = harness.send("POST", "/pay/x", "").await;
+
+            assert_eq!((read.status, read_seen, read.body.as_str()), (200, 2, "done"), "{line}");
+            assert_eq!((paid.status, harness.seen().len()), (502, 1), "{line} {paid:?}");
+            assert!(!paid.body.contains("secret"), "{paid:?}");
+        }
+    }
+}
+
+/// Guards against rejecting unusual statuses that are valid.
+#[tokio::test]
+async fn unusual_final_status_is_passed_on() {
+    for status in [200, 299, 418, 451, 499] {
+        let text = "mangohook-request-id: ID\r\nstamp: s\r\ncontent-length: 4\r\n\r\nbody";
+        let reply = Reply::Keep(format!("HTTP/1.1 {status} X\r\n{text}").leak());
+        let harness = GatewayHarness::start_with_one_server(&[reply]).await;
+
+        let answer = harness.send("POST", "/pay/x", "").await;
+
+        assert_eq!((answer.status, answer.body.as_str()), (status, "body"));
+    }
+}
--- a/tests/deferred.rs
+++ b/tests/deferred.rs
@@ -68,3 +68,29 @@
     assert!(!answer.status.is_success(), "{}", answer.text());
     assert_eq!(answer.json()["run"], "unknown");
 }
+
+/// Guards against taking the invalid status of a faulty server for a delivery, by which the request would be lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_answered_with_an_invalid_status_is_not_delivered() {
+    let (system, addr) = system_without_server().await;
+    let server = Backend::start_at("logs", addr).await.expect("the port is free again");
+    server.faults().set_status(999);
+
+    let answer = Caller::new(None)
+        .send(system.vm(0).caller, "POST", LOGS_PATH, &[], "cleaned")
+        .await
+        .expect("the VM answers");
+
+    assert_eq!(answer.status, 202, "{}", answer.text());
+    let received = server.received_requests().len();
+    wait_until("the request is sent again", async || {
+        server.received_requests().len() > received
+    })
+    .await;
+    assert!(!system.platform().objects().is_empty());
+    server.faults().set_status(200);
+    wait_until("the stored request is removed", async || {
+        system.platform().objects().is_empty()
+    })
+    .await;
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -343,3 +343,26 @@
         assert_eq!(received.headers["transfer-encoding"], "chunked", "{method}");
     }
 }
+
+/// Guards against passing on an invalid status of a faulty server, for requests and for operations.
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_status_is_not_passed_on() {
+    for status in [101, 600, 999] {
+        // The only server gets no more requests for a while after it has failed a few.
+        let system = TestSystem::start(1).await;
+        let key = system.grant_key("orchard", "till").await;
+        let caller = mh_standin::Caller::new(Some(&key));
+        let addr = system.vm(0).caller;
+        system.backend().faults().set_status(status);
+
+        let read = caller.get(addr, STOCK_PATH).await.unwrap();
+        let id = format!("order-{status}");
+        let headers = [("idempotency-key", id.as_str())];
+        let order = caller.send(addr, "POST", ORDER_PATH, &headers, "{}").await.unwrap();
+
+        for reply in [read, order] {
+            assert_eq!((reply.status.as_u16(), reply.code()), (502, Some(2007)), "{status}");
+            assert_eq!(reply.json()["run"].as_str(), Some("unknown"));
+        }
+    }
+}
