--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -193,7 +193,6 @@
             pipelining: mh_edge::PipelineBounds::default(),
             regions: BTreeMap::from([("a".into(), "north".into())]),
             promises: BoundSettings::default(),
-            placement: crate::PlacementSettings::default(),
             log: log::LevelFilter::Off,
         };
         match GatewayNode::start(
