Report usage to platforms that ask for it

Gateways count the requests that servers begin, send the counts to the VM that holds the duty, and that VM records each window in the store before it reports it. Off unless the settings have the section usage.

--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -16,6 +16,7 @@
 mod shift_controller;
 mod shift_writer;
 mod stale_vms;
+mod usage_loop;
 
 pub use deployment_state::DeploymentState;
 
@@ -27,3 +28,4 @@
 pub(crate) use member_loop::run_membership;
 pub(crate) use relay::{CHANGES_PATH, Relay, parse_changes_query};
 pub(crate) use stale_vms::StaleVms;
+pub(crate) use usage_loop::{UsageDuty, UsageView, run_usage};
--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -101,6 +101,8 @@
     },
     /// The list of VMs from which the sender derives the owners of quotas. Unknown to earlier versions.
     Handover(mh_budget::HandoverMsg),
+    /// Counts of requests for the usage reports, and their confirmations. Unknown to earlier versions.
+    Usage(mh_usage::Msg),
 }
 
 #[cfg(test)]
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -9,6 +9,7 @@
 
 use mh_poison::Fingerprint;
 use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
+use mh_usage::DutyRow;
 use tokio::time::Instant;
 
 use super::backend_inputs::BackendInputs;
@@ -47,6 +48,7 @@
     clock: Option<(Duration, Instant)>,
     restored: RestoredState,
     quarantines: HashMap<Fingerprint, StoredQuarantine>,
+    pub(super) usage_duty: Option<DutyRow>,
 }
 
 impl DeploymentState {
@@ -72,6 +74,7 @@
             clock: None,
             restored: RestoredState::default(),
             quarantines: HashMap::new(),
+            usage_duty: None,
         }
     }
 
@@ -196,6 +199,7 @@
                     _ => None,
                 });
                 self.quarantines.clear();
+                self.usage_duty = None;
                 let restored = &mut self.restored;
                 self.vms.retain(|vm, _| {
                     let is_kept = named.contains(vm) || restored.is_vm_lost(vm);
@@ -259,6 +263,7 @@
             Update::Quarantine(fingerprint, Some(quarantine)) => {
                 self.quarantines.insert(*fingerprint, quarantine.clone());
             }
+            Update::UsageDuty(duty) => self.usage_duty.clone_from(duty),
             Update::Quarantine(fingerprint, None) => drop(self.quarantines.remove(fingerprint)),
             Update::Vm(name, None) => {
                 if self.vms.remove(name).is_some() {
--- a/crates/mh_gateway/src/control/deployment_state/restored.rs
+++ b/crates/mh_gateway/src/control/deployment_state/restored.rs
@@ -73,7 +73,11 @@
                     None => self.departed_vms.insert(vm.clone(), ()),
                 }
             }
-            Update::Plan(_) | Update::Server(..) | Update::Shift(..) | Update::Quarantine(..) => {}
+            Update::Plan(_)
+            | Update::Server(..)
+            | Update::Shift(..)
+            | Update::Quarantine(..)
+            | Update::UsageDuty(_) => {}
         }
     }
 
@@ -102,6 +106,7 @@
             }
             Feed::Shifts => self.retain_lost_records(batch),
             Feed::Vms => {
+                self.usage_duty = None;
                 let named = batch.named(|update| match update {
                     Update::Vm(vm, Some(_)) => Some(vm),
                     _ => None,
--- a/crates/mh_gateway/src/control/deployment_state/snapshot.rs
+++ b/crates/mh_gateway/src/control/deployment_state/snapshot.rs
@@ -42,7 +42,8 @@
                 let vms = vms.map(|(name, vm)| Update::Vm(name.clone(), Some(vm.clone())));
                 let quarantines = self.quarantines.iter();
                 let quarantines = quarantines.map(|(key, stored)| Update::Quarantine(*key, Some(stored.clone())));
-                vms.chain(quarantines).collect()
+                let duty = self.usage_duty.iter().map(|duty| Update::UsageDuty(Some(duty.clone())));
+                vms.chain(quarantines).chain(duty).collect()
             }
         }
     }
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -92,6 +92,7 @@
         Datagram::Limits(msg) => node.on_limit_msg(from, msg),
         Datagram::LimitAsk { number, ask } => node.on_limit_ask(from, number, &ask, now),
         Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
+        Datagram::Usage(msg) => node.on_usage_msg(from, addr, msg, now),
         Datagram::Handover(msg) => {
             let answer = lock(&node.quotas).on_handover(from, &msg, now);
             if let Some(answer) = answer {
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -49,12 +49,12 @@
 pub use node::{GatewayNode, StopOutcome, run_until_signal};
 pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, UnreadableParts};
 pub use quota_peers::QuotaPeers;
-pub use request::{Counters, Gateway, LimitGate, ServerPaths};
+pub use request::{Counters, Gateway, LimitGate, ServerPaths, UsageGate};
 pub use service_backends::ServiceBackends;
-pub use settings::{BoundSettings, GatewayListen, GatewaySettings};
+pub use settings::{BoundSettings, GatewayListen, GatewaySettings, UsageSettings};
 pub use shift_phase::ShiftPhase;
 pub use source::{
     AnnouncedVm, Batch, ChangesRead, Feed, RegisteredServer, ShiftOrder, ShiftRecord, Source, StoredQuarantine, Update,
-    WriteOutcome,
+    UsageReporter, WriteOutcome,
 };
 pub use suspend_detector::SuspendDetector;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -21,12 +21,13 @@
 use super::supervise::supervise;
 use super::unlisted_vm::UnlistedVm;
 use crate::control::{
-    Datagram, DeploymentState, QuotaController, Relay, StaleVms, encode, follow_feed, run_membership,
+    Datagram, DeploymentState, QuotaController, Relay, StaleVms, UsageDuty, encode, follow_feed, run_membership,
+    run_usage,
 };
 use crate::request::Timings;
 use crate::{
     AnnouncedVm, Feed, Gateway, GatewaySettings, HeaderNames, Interface, LiveState, ShiftPhase, ShiftRecord, Source,
-    Update,
+    Update, UsageReporter, UsageSettings,
 };
 
 /// Minimum time between two attempts to write one phase of a shift.
@@ -71,6 +72,9 @@
     next_clean_up: Mutex<Option<Instant>>,
     epoch: watch::Sender<u64>,
     rebuilds: AtomicU64,
+    /// The duty of reporting usage; empty if no reports are made.
+    pub(crate) usage: OnceLock<UsageDuty>,
+    incarnation: Incarnation,
     /// Tunnels to backend servers that are open for other VMs.
     pub(super) open_tunnels: AtomicUsize,
 }
@@ -139,6 +143,8 @@
             next_clean_up: Mutex::default(),
             epoch: watch::Sender::new(0),
             rebuilds: AtomicU64::new(0),
+            usage: OnceLock::new(),
+            incarnation,
             open_tunnels: AtomicUsize::new(0),
             cfg,
         });
@@ -181,6 +187,23 @@
         &self.gateway
     }
 
+    /// Begins to count requests and to take part in the usage reports, if the settings ask for them.
+    pub fn report_usage(self: &Arc<Self>, reporter: Arc<dyn UsageReporter>) {
+        let Some(params) = self.cfg.usage.as_ref().and_then(UsageSettings::params) else {
+            return;
+        };
+        self.gateway.usage().enable(self.incarnation, params);
+        if self
+            .usage
+            .set(UsageDuty::new(self.cfg.vm.clone(), params, reporter))
+            .is_err()
+        {
+            return;
+        }
+        let node = Arc::clone(self);
+        supervise("usage", move || run_usage(Arc::clone(&node)));
+    }
+
     /// Applies changed bounds and regions of the settings file.
     pub fn reload(&self, cfg: &GatewaySettings) {
         let bounds = cfg.promises.bounds();
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -6,6 +6,7 @@
 
 use super::GatewayNode;
 use crate::Feed;
+use crate::control::UsageView;
 use crate::logging::lines_dropped;
 use crate::request::Counters;
 use tokio::time::Instant;
@@ -41,7 +42,7 @@
             read: Arc::new(move || node.upgrade().map_or(0, |node| read(&node))),
         }
     };
-    Metrics::new(vec![
+    let mut metrics = vec![
         counter("requests", "Requests that reached the caller port", |c| &c.requests),
         counter("served", "Requests answered by a backend server", |c| &c.served),
         counter("refused", "Requests refused as not run", |c| &c.refused),
@@ -112,5 +113,39 @@
         gauge("sharing_vms", "VMs that limits are divided by", |node| {
             u64::from(node.sharing_vms())
         }),
-    ])
+    ];
+    metrics.extend(usage_metrics(&node));
+    Metrics::new(metrics)
+}
+
+/// Returns the metrics of the usage reports, which are 0 if none are made.
+fn usage_metrics(node: &Weak<GatewayNode>) -> [Metric; 4] {
+    let metric = |name, help, read: fn(&UsageView) -> u64| {
+        let node = Weak::clone(node);
+        let read = move || {
+            node.upgrade()
+                .and_then(|node| node.usage_view())
+                .map_or(0, |view| read(&view))
+        };
+        Metric {
+            name,
+            help,
+            is_counter: false,
+            read: Arc::new(read),
+        }
+    };
+    [
+        metric("usage_holder", "Whether this VM reports usage", |view| {
+            u64::from(view.token.is_some())
+        }),
+        metric("usage_pending", "Recorded windows that are not yet reported", |view| {
+            view.pending as u64
+        }),
+        metric("usage_reported", "Usage reports accepted since the start", |view| {
+            view.reported
+        }),
+        metric("usage_lost", "Counted requests that no VM could report", |view| {
+            view.lost
+        }),
+    ]
 }
--- a/crates/mh_gateway/src/node/shutdown.rs
+++ b/crates/mh_gateway/src/node/shutdown.rs
@@ -95,6 +95,7 @@
     let is_clean = caller_port
         .shutdown(end.saturating_duration_since(Instant::now()))
         .await;
+    node.hand_over_usage().await;
     if is_clean && running() == 0 && tunnels() == 0 {
         emit!(Event::Stopped, after_ms = started.elapsed().as_millis());
         StopOutcome::Clean
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -61,5 +61,6 @@
         "quotas": quotas.collect::<Vec<_>>(),
         "limits": node.gateway.limits().with(|limits| limits.view(now)),
         "servers": servers,
+        "usage": node.usage_view(),
     })
 }
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -15,6 +15,7 @@
 mod timings;
 mod tunnel_client;
 mod tunnel_stream;
+mod usage_gate;
 
 pub use counters::Counters;
 pub(crate) use counters::{count_lookup, increment};
@@ -24,3 +25,5 @@
 pub(crate) use timings::Timings;
 pub(crate) use tunnel_client::SERVER_HEADER;
 pub(crate) use tunnel_stream::{FRAMED, FRAMING_HEADER, MAX_FRAME_BYTES, frame_codec};
+pub use usage_gate::UsageGate;
+pub(crate) use usage_gate::machine_wall;
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -85,8 +85,9 @@
         timings.on_sent(sent_at - cx.arrived);
     }
     let req = server_request(head, cx, &server, upload);
+    let usage = cx.usage.begin(cx.org.as_deref());
     let (sent, connection) = send(cx, attempt, connection, req, &placement, counters).await;
-    match sent {
+    let result = match sent {
         Ok((attempt, answer)) => {
             let active = ActiveConnection {
                 connection,
@@ -113,7 +114,13 @@
             };
             Err(end_attempt(cx, placement, outcome, failure))
         }
+    };
+    if let (Some(usage), Err(failure)) = (usage, &result)
+        && failure.run() == Run::NotRun
+    {
+        usage.not_run();
     }
+    result
 }
 
 async fn connect(
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -23,6 +23,7 @@
 use super::outgoing::forwarded_head;
 use super::request_context::RequestContext;
 use super::server_paths::{AnyDial, ServerPaths};
+use super::usage_gate::UsageGate;
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
 use mh_edge::BufferBudget;
 
@@ -54,6 +55,7 @@
     limits: Arc<LimitGate>,
     poison: Arc<PoisonGate>,
     paths: Arc<ServerPaths>,
+    usage: Arc<UsageGate>,
 }
 
 impl Gateway {
@@ -68,6 +70,7 @@
             limits: Arc::new(LimitGate::new(vm.clone())),
             poison,
             paths,
+            usage: Arc::default(),
             vm,
             headers: Arc::new(headers),
             bounds: ArcSwap::from_pointee(bounds),
@@ -115,6 +118,11 @@
         &self.paths
     }
 
+    /// Returns the counts for the usage reports.
+    pub fn usage(&self) -> &Arc<UsageGate> {
+        &self.usage
+    }
+
     /// Returns the name of this VM.
     pub fn vm(&self) -> &VmName {
         &self.vm
@@ -366,6 +374,7 @@
             limits: Arc::clone(&self.limits),
             poison: Arc::clone(&self.poison),
             paths: Arc::clone(&self.paths),
+            usage: Arc::clone(&self.usage),
             fingerprint: None,
             headers: Arc::clone(&self.headers),
             route,
--- a/crates/mh_gateway/src/request/request_context.rs
+++ b/crates/mh_gateway/src/request/request_context.rs
@@ -12,6 +12,7 @@
 
 use super::limit_gate::LimitGate;
 use super::server_paths::{RequestDial, ServerPaths};
+use super::usage_gate::UsageGate;
 use crate::{ActiveShift, HeaderNames, HostRoute, LiveState, PlanOrg, ServiceBackends};
 use mh_edge::BufferBudget;
 
@@ -44,6 +45,7 @@
     pub(super) limits: Arc<LimitGate>,
     pub(super) poison: Arc<PoisonGate>,
     pub(super) paths: Arc<ServerPaths>,
+    pub(super) usage: Arc<UsageGate>,
     /// Identifies requests with the same contents; `None` if the body is not known before it is sent.
     pub(super) fingerprint: Option<Fingerprint>,
     pub(super) headers: Arc<HeaderNames>,
--- a/crates/mh_gateway/src/settings.rs
+++ b/crates/mh_gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mh_types::{DomainName, RegionName, VmName};
+use mh_usage::Params;
 use serde::Deserialize;
 
 use crate::{Bounds, time_text};
@@ -35,6 +36,9 @@
     /// Bounds over the whole fleet; missing ones have the default values.
     #[serde(default)]
     pub promises: BoundSettings,
+    /// Usage reports; none are made without this section.
+    #[serde(default)]
+    pub usage: Option<UsageSettings>,
     /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
     #[serde(default = "default_log_level")]
     pub log: log::LevelFilter,
@@ -81,6 +85,54 @@
     pub exposure_share: Option<f64>,
 }
 
+/// Duty of reporting how many requests of each organisation ran.
+const USAGE_REPORT: &str = "usage_report";
+
+/// Settings of the usage reports. Durations are strings such as `1500ms` or `2.5s`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UsageSettings {
+    /// Address of the API that takes the reports.
+    pub address: SocketAddr,
+    /// Duties that the platform asks for; without `usage_report` there are no reports.
+    #[serde(default)]
+    pub duties: Vec<String>,
+    /// Calls that the API allows per second, from all VMs.
+    #[serde(default)]
+    pub calls_per_s: Option<f64>,
+    /// Length of a window.
+    #[serde(default, deserialize_with = "time_text::deserialize_option")]
+    pub window: Option<Duration>,
+    /// Time after the end of a window at which its report is due.
+    #[serde(default, deserialize_with = "time_text::deserialize_option")]
+    pub late: Option<Duration>,
+    /// Time within which two VMs must not alternate in reporting.
+    #[serde(default, deserialize_with = "time_text::deserialize_option")]
+    pub lease: Option<Duration>,
+    /// Gap in the process's run after which it checks whether it still has the duty.
+    #[serde(default, deserialize_with = "time_text::deserialize_option")]
+    pub thaw_slack: Option<Duration>,
+}
+
+impl UsageSettings {
+    /// Returns the times of the reports, with the default values where none is set; `None` if no reports are made.
+    pub fn params(&self) -> Option<Params> {
+        let defaults = Params::default();
+        let is_on = self.duties.iter().any(|duty| duty == USAGE_REPORT);
+        is_on.then(|| Params {
+            window: self
+                .window
+                .filter(|window| !window.is_zero())
+                .unwrap_or(defaults.window),
+            late: self.late.unwrap_or(defaults.late),
+            lease: self.lease.unwrap_or(defaults.lease),
+            thaw_slack: self.thaw_slack.unwrap_or(defaults.thaw_slack),
+            calls_per_s: self.calls_per_s.unwrap_or(defaults.calls_per_s),
+            call_timeout: defaults.call_timeout,
+        })
+    }
+}
+
 /// Time beyond the settling time within which look-ups drop a stopped VM.
 const VM_LOSS_MARGIN: Duration = Duration::from_secs(3);
 
--- a/crates/mh_gateway/src/source.rs
+++ b/crates/mh_gateway/src/source.rs
@@ -7,14 +7,17 @@
 mod shift_record;
 mod stored_quarantine;
 mod update;
+mod usage_reporter;
 mod write_outcome;
 
 use std::fmt;
 use std::time::Duration;
 
-use mh_platform::{BoxFuture, Result};
+use error_stack::Report;
+use mh_platform::{BoxFuture, PlatformError, Result};
 use mh_poison::Fingerprint;
-use mh_types::{ServiceName, StoreVersion, VmName};
+use mh_types::{Code, ServiceName, StoreVersion, VmName};
+use mh_usage::{DutyRow, StoredUsage, WindowRecord};
 
 pub use announced_vm::AnnouncedVm;
 pub use batch::Batch;
@@ -26,6 +29,7 @@
 pub use stored_quarantine::StoredQuarantine;
 pub(crate) use update::Subject;
 pub use update::Update;
+pub use usage_reporter::UsageReporter;
 pub use write_outcome::WriteOutcome;
 
 /// The store of routes, the server registry and all state that must outlast a VM.
@@ -58,4 +62,30 @@
         service: &'a ServiceName,
         record: &'a ShiftRecord,
     ) -> BoxFuture<'a, Result<WriteOutcome>>;
+
+    /// Reads who reports usage, and the recorded windows. A source without usage reports has neither.
+    fn read_usage(&self) -> BoxFuture<'_, Result<StoredUsage>> {
+        Box::pin(async { Err(Report::new(PlatformError(Code::TableUnreachable))) })
+    }
+
+    /// Claims the duty of reporting usage if its stored row still has the version `expected`, whose era is that of the
+    /// row's token.
+    fn claim_usage_duty<'a>(
+        &'a self,
+        _row: &'a DutyRow,
+        _expected: StoreVersion,
+    ) -> BoxFuture<'a, Result<WriteOutcome>> {
+        Box::pin(async { Ok(WriteOutcome::Conflict) })
+    }
+
+    /// Records the usage of a window if it is not recorded, `duty` is still the stored row and the store was not restored
+    /// from a copy without it; also removes the windows `removed`.
+    fn record_usage<'a>(
+        &'a self,
+        _duty: &'a DutyRow,
+        _record: &'a WindowRecord,
+        _removed: &'a [u64],
+    ) -> BoxFuture<'a, Result<WriteOutcome>> {
+        Box::pin(async { Ok(WriteOutcome::Conflict) })
+    }
 }
--- a/crates/mh_gateway/src/source/update.rs
+++ b/crates/mh_gateway/src/source/update.rs
@@ -2,6 +2,7 @@
 
 use mh_poison::Fingerprint;
 use mh_types::{DomainName, ServerName, ServiceName, VmName};
+use mh_usage::DutyRow;
 use serde::{Deserialize, Serialize};
 
 use super::{AnnouncedVm, RegisteredServer, ShiftOrder, ShiftRecord, StoredQuarantine};
@@ -24,6 +25,8 @@
     Vm(VmName, Option<AnnouncedVm>),
     /// A request in quarantine; `None` if the quarantine was removed.
     Quarantine(Fingerprint, Option<StoredQuarantine>),
+    /// Who reports usage; `None` if nobody does. Unknown to earlier versions.
+    UsageDuty(Option<DutyRow>),
 }
 
 /// Key of an update; a later update of the same subject replaces an earlier one.
@@ -36,6 +39,7 @@
     Shift(ServiceName),
     Vm(VmName),
     Quarantine(Fingerprint),
+    UsageDuty,
 }
 
 impl Update {
@@ -48,6 +52,7 @@
             Self::Shift(service, _) => Subject::Shift(service.clone()),
             Self::Vm(vm, _) => Subject::Vm(vm.clone()),
             Self::Quarantine(fingerprint, _) => Subject::Quarantine(*fingerprint),
+            Self::UsageDuty(_) => Subject::UsageDuty,
         }
     }
 }
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -151,6 +151,7 @@
         },
         threads: 1,
         memory_mb: 128,
+        usage: None,
         first_start: false,
         descriptors: 256,
         regions: ["a", "b"].map(|domain| (domain.into(), "north".into())).into(),
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -180,6 +180,7 @@
             },
             threads: 1,
             memory_mb: 128,
+            usage: None,
             first_start: false,
             descriptors: 256,
             regions: BTreeMap::from([("a".into(), "north".into())]),
--- a/crates/mh_platform/src/http/client.rs
+++ b/crates/mh_platform/src/http/client.rs
@@ -122,6 +122,24 @@
             .await
     }
 
+    /// Like [`send`](Self::send), with further request headers.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`send`](Self::send).
+    pub async fn send_with_headers(
+        &self,
+        headers: HeaderMap,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        failure_code: Code,
+    ) -> Result<HttpResponse> {
+        let mut request = self.request(method, path, Some(body), failure_code)?;
+        request.headers_mut().extend(headers);
+        self.exchange(self.timeout, request, failure_code).await
+    }
+
     /// Like [`send`](Self::send), but waits up to `timeout` for the response head. The body must then be complete
     /// within the client's own timeout, so that an endless body does not block the caller.
     ///
@@ -136,16 +154,30 @@
         body: Option<Bytes>,
         failure_code: Code,
     ) -> Result<HttpResponse> {
-        if !self.rate_limiter.acquire(self.timeout).await {
-            return Err(Report::new(PlatformError(Code::BudgetUsedUp)));
-        }
-        let error = PlatformError(failure_code);
-        let req = Request::builder()
+        let request = self.request(method, path, body, failure_code)?;
+        self.exchange(timeout, request, failure_code).await
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        failure_code: Code,
+    ) -> Result<Request<Full<Bytes>>> {
+        Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.addr))
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body.unwrap_or_default()))
-            .change_context(error)?;
+            .change_context(PlatformError(failure_code))
+    }
+
+    async fn exchange(&self, timeout: Duration, req: Request<Full<Bytes>>, failure_code: Code) -> Result<HttpResponse> {
+        if !self.rate_limiter.acquire(self.timeout).await {
+            return Err(Report::new(PlatformError(Code::BudgetUsedUp)));
+        }
+        let error = PlatformError(failure_code);
         let exchange = async {
             let response = self.http.request(req).await.map_err(|e| {
                 let code = if e.is_connect() {
--- a/crates/mh_types/src/event.rs
+++ b/crates/mh_types/src/event.rs
@@ -103,6 +103,11 @@
     ShiftOrdered = 703, Info, "A shift to a new version was ordered, or its order was withdrawn.";
     ShiftRecorded = 704, Info, "The state of a shift changed.";
     ShiftDecided = 705, Info, "This VM decided on the next state of a shift.";
+    UsageDutyChanged = 800, Info, "This VM began or ceased to report the usage of all VMs.";
+    UsageCountsMissing = 801, Warn, "Counts of requests were lost, or the last counts of a VM are missing in a report.";
+    UsageReported = 802, Info, "The usage of a window was reported.";
+    UsageReportFailed = 803, Warn, "A call to report usage had no result; it is sent again.";
+    UsageReportDropped = 804, Error, "The usage of a window was not reported and is too old.";
 }
 
 impl Event {
--- a/crates/mh_usage/src/duty.rs
+++ b/crates/mh_usage/src/duty.rs
@@ -143,7 +143,9 @@
                 first_window,
                 version: before_any_write,
             },
-            expected: last.map_or(before_any_write, |row| row.version),
+            expected: last.map_or(before_any_write, |row| {
+                StoreVersion::new(row.token.era(), row.version.number)
+            }),
             renewed,
         };
         self.with(state)
@@ -156,7 +158,7 @@
         &self.state.row
     }
 
-    /// Returns the version that the stored row must have.
+    /// Returns the version that the stored row must have, in the era of its token.
     pub fn expected(&self) -> StoreVersion {
         self.state.expected
     }
@@ -173,7 +175,7 @@
         }
         let row = self.state.row.clone();
         let holding = match self.state.renewed.take() {
-            Some(holding) => holding.renew(now, row, stored),
+            Some(holding) => holding.renew(now, wall, row, stored),
             None => Holding::new(now, wall, &self.params, row, stored),
         };
         Duty::Holding(Box::new(self.with(holding)))
--- a/crates/mh_usage/src/holding.rs
+++ b/crates/mh_usage/src/holding.rs
@@ -11,6 +11,10 @@
 /// flight and for clocks that differ slightly.
 pub(crate) const MIN_RECORD_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after a claim in which all VMs learn of the holder and send their counts: changes of the VM table gather for
+/// 1.5 s, and counts are sent once a second.
+const COLLECT_TIME: Duration = Duration::from_secs(3);
+
 /// The VM holds the duty.
 #[derive(Debug)]
 pub struct Holding {
@@ -23,6 +27,8 @@
     first_own_window: u64,
     /// Record whose write has no confirmed result; its counts no longer change.
     recording: Option<WindowRecord>,
+    /// Wall time until which windows that are overdue wait for the VMs' counts.
+    collects_until: Duration,
     last_tick: Instant,
     /// Whether the process was paused since the store last confirmed the duty.
     needs_check: bool,
@@ -49,6 +55,7 @@
             next_window,
             first_own_window: last_stored.map_or(current, |last| current.min(last + 1)),
             recording: None,
+            collects_until: wall + COLLECT_TIME,
             last_tick: now,
             needs_check: false,
             may_have_been_replaced: false,
@@ -58,12 +65,13 @@
     }
 
     /// Goes on with another token after a restore of the store; this process knows which windows were recorded.
-    pub(crate) fn renew(self, now: Instant, row: DutyRow, stored: &StoredUsage) -> Self {
+    pub(crate) fn renew(self, now: Instant, wall: Duration, row: DutyRow, stored: &StoredUsage) -> Self {
         let next_window = self.next_window.max(row.first_window);
         Self {
             collector: Collector::new(row.token, next_window),
             next_window,
             recording: self.recording.filter(|record| record.window >= next_window),
+            collects_until: wall + COLLECT_TIME,
             last_tick: now,
             needs_check: false,
             may_have_been_replaced: false,
@@ -162,24 +170,34 @@
         }
         if self.state.recording.is_none() {
             let oldest = self.params.oldest_window(wall);
-            // Windows from before the duty that no VM counted in, and those that are too old, are left out.
-            let counted = self.state.collector.first_window().unwrap_or(u64::MAX);
-            let first = oldest.max(counted.min(self.state.first_own_window));
-            if first > self.state.next_window {
-                self.state.next_window = first;
-                self.state.collector.close_before(first);
+            if oldest > self.state.next_window {
+                self.skip_to(oldest);
             }
-            let window = self.state.next_window;
-            let is_over = wall >= self.params.end_of(window) + MIN_RECORD_DELAY;
-            let is_due = wall >= self.params.record_by(window);
-            if !is_over || !(is_due || self.state.collector.is_complete(window, fleet.alive)) {
-                return None;
+            while self.is_recordable(self.state.next_window, wall, fleet) {
+                let record = self.state.collector.total(self.state.next_window);
+                // Windows from before the duty in which no VM counted anything are left out.
+                if record.window >= self.state.first_own_window || !record.counts.is_empty() {
+                    self.state.recording = Some(record);
+                    break;
+                }
+                self.skip_to(record.window + 1);
             }
-            self.state.recording = Some(self.state.collector.total(window));
         }
         self.state.recording.clone()
     }
 
+    fn skip_to(&mut self, window: u64) {
+        self.state.next_window = window;
+        self.state.collector.close_before(window);
+    }
+
+    /// Returns whether the counts of `window` are complete, or no more time is left for them.
+    fn is_recordable(&self, window: u64, wall: Duration, fleet: Fleet<'_>) -> bool {
+        let is_over = wall >= self.params.end_of(window) + MIN_RECORD_DELAY;
+        let is_due = wall >= self.params.record_by(window).max(self.state.collects_until);
+        is_over && (is_due || self.state.collector.is_complete(window, fleet.alive))
+    }
+
     /// Returns the stored windows that are reported or too old, to be removed with the next record. The newest one is
     /// kept, as it tells a later holder where to go on.
     pub fn removable_windows(&self, wall: Duration) -> Vec<u64> {
--- a/crates/mh_usage/src/params.rs
+++ b/crates/mh_usage/src/params.rs
@@ -13,7 +13,7 @@
     pub late: Duration,
     /// Time within which two holders must not alternate.
     pub lease: Duration,
-    /// Longest wait for the response to a call of the platform.
+    /// Time that a call of a holder is expected to be on its way. Later ones are refused by their token.
     pub call_timeout: Duration,
     /// Gap between two ticks after which the process counts as paused.
     pub thaw_slack: Duration,
--- a/crates/mh_usage/tests/duty.rs
+++ b/crates/mh_usage/tests/duty.rs
@@ -37,13 +37,16 @@
     }
 
     fn claim(&mut self, row: &DutyRow, expected: StoreVersion) -> Option<StoreVersion> {
-        if self.duty.as_ref().map_or(0, |row| row.version.number) != expected.number {
+        let era = row.token.era();
+        let guard = if expected.era == era { expected.number } else { 0 };
+        let is_expected = self.duty.as_ref().map_or(0, |row| row.version.number) == expected.number;
+        if !is_expected || self.guards.get(&era).copied().unwrap_or_default() != guard {
             return None;
         }
         self.version += 1;
         let version = StoreVersion::new(self.era, self.version);
         self.duty = Some(DutyRow { version, ..row.clone() });
-        self.guards.insert(row.token.era(), self.version);
+        self.guards.insert(era, self.version);
         Some(version)
     }
 
@@ -267,6 +270,22 @@
     ));
 }
 
+/// Guards against a holder that passes over windows, or records them without counts, before the VMs had time to send.
+#[test]
+fn new_holder_waits_for_the_counts_of_overdue_windows() {
+    let mut world = World::new();
+    let mut counts = counter(1);
+    count(&mut counts, &world, 7);
+    world.pass(20.0);
+    let mut holding = world.claim("a");
+    assert!(holding.next_record(world.wall(), world.fleet()).is_none());
+    world.deliver(&mut counts, "b", &mut holding);
+
+    let record = world.record(&mut holding);
+
+    assert_eq!((record.window, total(&record)), (Params::default().window_at(START), 7));
+}
+
 /// Guards against a paused holder that acts on a duty which it has lost.
 #[test]
 fn paused_holder_checks_before_it_acts() {
--- a/src/bin/mangohook/gateway.rs
+++ b/src/bin/mangohook/gateway.rs
@@ -48,6 +48,7 @@
         headers,
         interface,
         source,
+        reporter,
     } = deployment;
     let (node, server) = match GatewayNode::start(settings, headers, interface, source).await {
         Ok(started) => started,
@@ -56,6 +57,9 @@
             return Exit::StartFailed;
         }
     };
+    if let Some(reporter) = reporter {
+        node.report_usage(reporter);
+    }
     let reload = |node: &GatewayNode| match Deployment::load(path) {
         Ok(deployment) => node.reload(&deployment.settings),
         // Keeps the settings that are in force.
