--- a/crates/mh_gateway/src/control/usage_loop.rs
+++ b/crates/mh_gateway/src/control/usage_loop.rs
@@ -194,8 +194,9 @@
                 for window in holding.expire(wall) {
                     emit!(Event::UsageReportDropped, window = window);
                 }
-                let needs_check = holding.on_tick(now, known.as_ref(), fleet);
-                if needs_check && !self.is_store_busy && now >= self.next_read_at {
+                holding.on_tick(now, known.as_ref(), fleet);
+                let should_check = holding.should_check(now, wall, fleet);
+                if should_check && !self.is_store_busy && now >= self.next_read_at {
                     self.read_store(now);
                 } else if !self.is_store_busy
                     && let Some(record) = holding.next_record(wall, fleet)
--- a/crates/mh_usage/src/holding.rs
+++ b/crates/mh_usage/src/holding.rs
@@ -108,16 +108,21 @@
         self.state.collector.on_counts(now, from, msg)
     }
 
-    /// Notes the time; returns whether the store must confirm the duty before the next call, as the process was paused
-    /// or may be cut off, or as the feed names another holder.
-    pub fn on_tick(&mut self, now: Instant, known: Option<&DutyRow>, fleet: Fleet<'_>) -> bool {
+    /// Notes the time. The store must confirm the duty before the next record or call if the process was paused or may be
+    /// cut off, or if the feed names another holder.
+    pub fn on_tick(&mut self, now: Instant, known: Option<&DutyRow>, fleet: Fleet<'_>) {
         let gap = now.saturating_duration_since(self.state.last_tick);
         let is_replaced =
             known.is_some_and(|row| row.version.era > self.state.row.version.era || row.token > self.state.row.token);
         self.state.last_tick = now;
         self.state.may_have_been_replaced |= gap > self.params.thaw_slack || !fleet.has_quorum();
         self.state.needs_check |= self.state.may_have_been_replaced || is_replaced;
-        self.state.needs_check
+    }
+
+    /// Returns whether to read the store now, to confirm the duty before a record or a call that is due.
+    pub fn should_check(&self, now: Instant, wall: Duration, fleet: Fleet<'_>) -> bool {
+        let is_recordable = self.state.recording.is_some() || self.is_recordable(self.state.next_window, wall, fleet);
+        self.state.needs_check && (is_recordable || self.state.reports.is_due(now))
     }
 
     /// Applies a read of the store: the duty goes on, or another VM holds it, or the store was restored since the claim
--- a/crates/mh_usage/src/reports.rs
+++ b/crates/mh_usage/src/reports.rs
@@ -62,6 +62,12 @@
         Some(Arc::clone(&due.record))
     }
 
+    /// Returns whether a report is to be sent at `now`.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        let mut pending = self.pending.values();
+        pending.any(|pending| !pending.is_in_flight && pending.next_at <= now)
+    }
+
     /// Records the result of a call for `window`; one that may be repeated waits.
     pub fn on_result(&mut self, now: Instant, window: u64, outcome: CallOutcome) {
         if outcome == CallOutcome::Accepted {
--- a/crates/mh_usage/tests/duty.rs
+++ b/crates/mh_usage/tests/duty.rs
@@ -295,7 +295,8 @@
     world.pass(20.0);
 
     assert!(a.next_call(world.now).is_none());
-    assert!(a.on_tick(world.now, None, world.fleet()));
+    a.on_tick(world.now, None, world.fleet());
+    assert!(a.should_check(world.now, world.wall(), world.fleet()));
     assert!(a.next_call(world.now).is_none());
     assert!(a.next_record(world.wall(), world.fleet()).is_none());
     world.vms.remove(0);
