--- a/crates/mh_usage/src/duty.rs
+++ b/crates/mh_usage/src/duty.rs
@@ -97,8 +97,10 @@
         let token = known.map(|row| row.token);
         let gone = self.state.gone.filter(|(gone, _)| *gone == token);
         let (_, since) = *self.state.gone.insert(gone.unwrap_or((token, now)));
-        // Without a row, a restored store may lack that of a holder that lives; it writes its row again.
-        let delay = if is_own {
+        // A restored store may lack the row of a holder that lives, or name an earlier one; the holder writes its row
+        // again.
+        let is_restarted = known.is_some_and(|row| is_own && row.token.era() == row.version.era);
+        let delay = if is_restarted {
             Duration::ZERO
         } else {
             self.params.takeover_delay()
--- a/crates/mh_usage/src/holding.rs
+++ b/crates/mh_usage/src/holding.rs
@@ -15,6 +15,18 @@
 /// 1.5 s, and counts are sent once a second.
 const COLLECT_TIME: Duration = Duration::from_secs(3);
 
+/// Reasons to ask the store whether this VM still holds the duty.
+#[derive(Debug, Default)]
+struct Doubt {
+    /// Whether the store must confirm the duty before the next record or call.
+    needs_check: bool,
+    /// Whether the feed no longer delivers the row of this claim.
+    is_row_replaced: bool,
+    /// Whether another VM may have held the duty since the store last confirmed it, unnoticed by this one: the process
+    /// was paused or may have been cut off.
+    may_have_been_replaced: bool,
+}
+
 /// The VM holds the duty.
 #[derive(Debug)]
 pub struct Holding {
@@ -30,10 +42,9 @@
     /// Wall time until which windows that are overdue wait for the VMs' counts.
     collects_until: Duration,
     last_tick: Instant,
-    /// Whether the process was paused since the store last confirmed the duty.
-    needs_check: bool,
-    /// Whether another VM may have held the duty since the store last confirmed it, unnoticed by this one.
-    may_have_been_replaced: bool,
+    /// Whether the feed has delivered the row of this claim.
+    has_seen_row: bool,
+    doubt: Doubt,
     /// Windows that are still stored.
     stored_windows: Vec<u64>,
 }
@@ -57,8 +68,8 @@
             recording: None,
             collects_until: wall + COLLECT_TIME,
             last_tick: now,
-            needs_check: false,
-            may_have_been_replaced: false,
+            has_seen_row: false,
+            doubt: Doubt::default(),
             stored_windows: stored.windows.iter().map(|record| record.window).collect(),
             row,
         }
@@ -73,8 +84,8 @@
             recording: self.recording.filter(|record| record.window >= next_window),
             collects_until: wall + COLLECT_TIME,
             last_tick: now,
-            needs_check: false,
-            may_have_been_replaced: false,
+            has_seen_row: false,
+            doubt: Doubt::default(),
             stored_windows: stored.windows.iter().map(|record| record.window).collect(),
             row,
             ..self
@@ -112,17 +123,22 @@
     /// cut off, or if the feed names another holder.
     pub fn on_tick(&mut self, now: Instant, known: Option<&DutyRow>, fleet: Fleet<'_>) {
         let gap = now.saturating_duration_since(self.state.last_tick);
-        let is_replaced =
-            known.is_some_and(|row| row.version.era > self.state.row.version.era || row.token > self.state.row.token);
+        let own = &self.state.row;
+        self.state.has_seen_row |= known.is_some_and(|row| row.token == own.token);
+        let is_later = known.is_some_and(|row| row.version.era > own.version.era || row.token > own.token);
+        let is_missing = self.state.has_seen_row && known.is_none_or(|row| row.token != own.token);
+        self.state.doubt.is_row_replaced = is_later || is_missing;
         self.state.last_tick = now;
-        self.state.may_have_been_replaced |= gap > self.params.thaw_slack || !fleet.has_quorum();
-        self.state.needs_check |= self.state.may_have_been_replaced || is_replaced;
+        self.state.doubt.may_have_been_replaced |= gap > self.params.thaw_slack || !fleet.has_quorum();
+        self.state.doubt.needs_check |= self.state.doubt.may_have_been_replaced || self.state.doubt.is_row_replaced;
     }
 
-    /// Returns whether to read the store now, to confirm the duty before a record or a call that is due.
+    /// Returns whether to read the store now: to confirm the duty before a record or a call that is due, or to write it
+    /// again before others claim it after a restore.
     pub fn should_check(&self, now: Instant, wall: Duration, fleet: Fleet<'_>) -> bool {
         let is_recordable = self.state.recording.is_some() || self.is_recordable(self.state.next_window, wall, fleet);
-        self.state.needs_check && (is_recordable || self.state.reports.is_due(now))
+        self.state.doubt.needs_check
+            && (self.state.doubt.is_row_replaced || is_recordable || self.state.reports.is_due(now))
     }
 
     /// Applies a read of the store: the duty goes on, or another VM holds it, or the store was restored since the claim
@@ -145,7 +161,7 @@
             // The windows that this process recorded, or that another holder may have, must not be recorded again.
             let first_open = self.params.window_at(wall + MIN_RECORD_DELAY);
             let recorded = self.state.next_window;
-            let first_window = if self.state.may_have_been_replaced {
+            let first_window = if self.state.doubt.may_have_been_replaced {
                 recorded.max(first_open)
             } else {
                 recorded
@@ -161,8 +177,7 @@
             self.state.recording = Some(recorded.clone());
             self.on_recorded(now);
         }
-        self.state.needs_check = false;
-        self.state.may_have_been_replaced = false;
+        self.state.doubt = Doubt::default();
         self.state.last_tick = now;
         Duty::Holding(Box::new(self))
     }
@@ -170,7 +185,7 @@
     /// Returns the next window whose counts to write to the store. After a write without a confirmed result it is the
     /// same record again.
     pub fn next_record(&mut self, wall: Duration, fleet: Fleet<'_>) -> Option<WindowRecord> {
-        if self.state.needs_check {
+        if self.state.doubt.needs_check {
             return None;
         }
         if self.state.recording.is_none() {
@@ -231,13 +246,13 @@
 
     /// Notes that the store must be read before anything else is done.
     pub fn require_check(&mut self) {
-        self.state.needs_check = true;
+        self.state.doubt.needs_check = true;
     }
 
     /// Returns the report to send now.
     pub fn next_call(&mut self, now: Instant) -> Option<Arc<WindowRecord>> {
         let is_paused = now.saturating_duration_since(self.state.last_tick) > self.params.thaw_slack;
-        if self.state.needs_check || is_paused {
+        if self.state.doubt.needs_check || is_paused {
             return None;
         }
         self.state.reports.next_call(now, &self.params)
--- a/crates/mh_usage/tests/duty.rs
+++ b/crates/mh_usage/tests/duty.rs
@@ -5,7 +5,7 @@
 
 use mh_types::{Incarnation, StoreVersion, VmName};
 use mh_usage::{
-    CallOutcome, Duty, DutyHolder, DutyRow, Fleet, Holding, Msg, Params, StoredUsage, Token, UsageCounter, WallClock,
+    CallOutcome, Duty, DutyHolder, DutyRow, Fleet, Holding, Params, StoredUsage, Token, UsageCounter, WallClock,
     WindowRecord,
 };
 use tokio::time::Instant;
@@ -159,7 +159,6 @@
                     .expect("the token is right");
                 counter.on_ack(&ack);
             }
-            let _ = Msg::Counts(msg);
         }
     }
 
@@ -206,7 +205,7 @@
     let mut holding = world.claim("a");
     while Params::default().window_at(world.wall()) == Params::default().window_at(START) {
         world.pass(0.1);
-        holding.on_tick(world.now, None, world.fleet());
+        holding.on_tick(world.now, world.store.duty.as_ref(), world.fleet());
     }
     let mut first = counter(1);
     count(&mut first, &world, 3);
@@ -295,7 +294,7 @@
     world.pass(20.0);
 
     assert!(a.next_call(world.now).is_none());
-    a.on_tick(world.now, None, world.fleet());
+    a.on_tick(world.now, world.store.duty.as_ref(), world.fleet());
     assert!(a.should_check(world.now, world.wall(), world.fleet()));
     assert!(a.next_call(world.now).is_none());
     assert!(a.next_record(world.wall(), world.fleet()).is_none());
@@ -339,7 +338,7 @@
     world.record(&mut a);
     let record = loop {
         world.pass(0.1);
-        a.on_tick(world.now, None, world.fleet());
+        a.on_tick(world.now, world.store.duty.as_ref(), world.fleet());
         if let Some(record) = a.next_record(world.wall(), world.fleet()) {
             break record;
         }
@@ -369,6 +368,16 @@
     // The store is restored to its state before the record and before the claim of `b`.
     world.store = Store { era: 1, ..copy };
 
+    // The holder writes its row again before the earlier one claims.
+    let mut b = b;
+    let mut earlier = DutyHolder::new("a".into(), Params::default());
+    let known = world.store.duty.clone().map(|row| DutyRow {
+        version: StoreVersion::new(1, row.version.number),
+        ..row
+    });
+    b.on_tick(world.now, known.as_ref(), world.fleet());
+    assert!(b.should_check(world.now, world.wall(), world.fleet()));
+    assert!(!earlier.should_claim(world.now, known.as_ref(), world.fleet()));
     let waiting = DutyHolder::new("c".into(), Params::default());
     let stale = waiting.claim(world.wall(), Some(b.row()), &world.store.read());
     assert!(matches!(stale, Duty::Waiting(_)), "{stale:?}");
@@ -422,7 +431,7 @@
     let mut last: Option<Instant> = None;
     for _ in 0..200 {
         world.pass(0.1);
-        holding.on_tick(world.now, None, world.fleet());
+        holding.on_tick(world.now, world.store.duty.as_ref(), world.fleet());
         let Some(sent) = holding.next_call(world.now) else {
             continue;
         };
