--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -112,6 +112,8 @@
         /// Unused part of the scarcest resource, of 255.
         spare: u8,
     },
+    /// Counts of requests for the usage reports, and their confirmations. Unknown to earlier versions.
+    Usage(mh_usage::Msg),
 }
 
 /// Loads that backend servers with a stated speed reported to the sender.
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -10,6 +10,7 @@
 
 use mh_poison::Fingerprint;
 use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
+use mh_usage::DutyRow;
 use tokio::time::Instant;
 
 use super::backend_inputs::BackendInputs;
@@ -54,6 +55,7 @@
     quarantines: HashMap<Fingerprint, StoredQuarantine>,
     /// Fractions of first choices by service and failure domain, from measured demand.
     domain_fractions: BTreeMap<ServiceName, BTreeMap<DomainName, f64>>,
+    pub(super) usage_duty: Option<DutyRow>,
 }
 
 impl DeploymentState {
@@ -82,6 +84,7 @@
             restored: RestoredState::default(),
             quarantines: HashMap::new(),
             domain_fractions: BTreeMap::new(),
+            usage_duty: None,
         }
     }
 
@@ -234,6 +237,7 @@
                     _ => None,
                 });
                 self.quarantines.clear();
+                self.usage_duty = None;
                 let restored = &mut self.restored;
                 self.vms.retain(|vm, _| {
                     let is_kept = named.contains(vm) || restored.is_vm_lost(vm);
@@ -297,6 +301,7 @@
             Update::Quarantine(fingerprint, Some(quarantine)) => {
                 self.quarantines.insert(*fingerprint, quarantine.clone());
             }
+            Update::UsageDuty(duty) => self.usage_duty.clone_from(duty),
             Update::Quarantine(fingerprint, None) => drop(self.quarantines.remove(fingerprint)),
             Update::Vm(name, None) => {
                 if self.vms.remove(name).is_some() {
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -108,6 +108,7 @@
         Datagram::LimitReply { number, reply } => node.pending_limit_asks.complete(number, reply),
         Datagram::Capacity { size, spare } => node.on_capacity(from, size, spare, now),
         Datagram::Demand(msg) => node.on_demand_msg(from, &msg, now),
+        Datagram::Usage(msg) => node.on_usage_msg(from, addr, msg, now),
         Datagram::Handover(msg) => {
             let answer = lock(&node.quotas).on_handover(from, &msg, now);
             if let Some(answer) = answer {
--- a/crates/mh_gateway/src/lib.rs
+++ b/crates/mh_gateway/src/lib.rs
@@ -51,12 +51,12 @@
 pub use placement_settings::{Assignment, PlacementSettings};
 pub use plan::{CallerLimits, HostRoute, Plan, PlanChange, PlanOrg, PlanService, RequestKind, Target, UnreadableParts};
 pub use quota_peers::QuotaPeers;
-pub use request::{Counters, Gateway, LimitGate, ServerPaths, serve_gateway};
+pub use request::{Counters, Gateway, LimitGate, ServerPaths, UsageGate, serve_gateway};
 pub use service_backends::ServiceBackends;
-pub use settings::{BoundSettings, GatewayListen, GatewaySettings, LookupMode, PlacementMode};
+pub use settings::{BoundSettings, GatewayListen, GatewaySettings, LookupMode, PlacementMode, UsageSettings};
 pub use shift_phase::ShiftPhase;
 pub use source::{
     AnnouncedVm, Batch, ChangesRead, Feed, RegisteredServer, ShiftOrder, ShiftRecord, Source, StoredQuarantine, Update,
-    WriteOutcome,
+    UsageReporter, WriteOutcome,
 };
 pub use suspend_detector::SuspendDetector;
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -8,6 +8,7 @@
 
 use super::{GatewayNode, lock};
 use crate::Feed;
+use crate::control::UsageView;
 use crate::logging::lines_dropped;
 use crate::request::Counters;
 use tokio::time::Instant;
@@ -114,6 +115,7 @@
     metrics.extend(pipelining_metrics(&node));
     metrics.extend(placement_metrics(gauge));
     metrics.extend(move_metrics(&node));
+    metrics.extend(usage_metrics(&node));
     Metrics::new(metrics)
 }
 
@@ -275,3 +277,35 @@
         ),
     ]
 }
+
+/// Returns the metrics of the usage reports, which are 0 if none are made.
+fn usage_metrics(node: &Weak<GatewayNode>) -> [Metric; 4] {
+    let metric = |name, help, read: fn(&UsageView) -> u64| {
+        let node = Weak::clone(node);
+        let read = move || {
+            node.upgrade()
+                .and_then(|node| node.usage_view())
+                .map_or(0, |view| read(&view))
+        };
+        Metric {
+            name,
+            help,
+            is_counter: false,
+            read: Arc::new(read),
+        }
+    };
+    [
+        metric("usage_holder", "Whether this VM reports usage", |view| {
+            u64::from(view.token.is_some())
+        }),
+        metric("usage_pending", "Recorded windows that are not yet reported", |view| {
+            view.pending as u64
+        }),
+        metric("usage_reported", "Usage reports accepted since the start", |view| {
+            view.reported
+        }),
+        metric("usage_lost", "Counted requests that no VM could report", |view| {
+            view.lost
+        }),
+    ]
+}
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -95,5 +95,6 @@
         "limits": node.gateway.limits().with(|limits| limits.view(now)),
         "servers": servers,
         "objects": objects,
+        "usage": node.usage_view(),
     })
 }
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -28,6 +28,7 @@
 use super::outgoing::forwarded_head;
 use super::request_context::RequestContext;
 use super::server_paths::{AnyDial, ServerPaths};
+use super::usage_gate::UsageGate;
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
 use mh_edge::BufferBudget;
 
@@ -63,6 +64,7 @@
     poison: Arc<PoisonGate>,
     paths: Arc<ServerPaths>,
     pipeline_load: Arc<PipelineLoad>,
+    usage: Arc<UsageGate>,
 }
 
 impl Gateway {
@@ -78,6 +80,7 @@
             poison,
             paths,
             pipeline_load: Arc::default(),
+            usage: Arc::default(),
             vm,
             headers: Arc::new(headers),
             bounds: ArcSwap::from_pointee(bounds),
@@ -139,6 +142,11 @@
         &self.paths
     }
 
+    /// Returns the counts for the usage reports.
+    pub fn usage(&self) -> &Arc<UsageGate> {
+        &self.usage
+    }
+
     /// Returns the name of this VM.
     pub fn vm(&self) -> &VmName {
         &self.vm
@@ -435,6 +443,7 @@
             limits: Arc::clone(&self.limits),
             poison: Arc::clone(&self.poison),
             paths: Arc::clone(&self.paths),
+            usage: Arc::clone(&self.usage),
             fingerprint: None,
             headers: Arc::clone(&self.headers),
             route,
--- a/crates/mh_gateway/tests/assignment.rs
+++ b/crates/mh_gateway/tests/assignment.rs
@@ -24,6 +24,7 @@
     let placement = PlacementSettings {
         assignment: Assignment::Stable,
         drain_spread: SPREAD,
+        ..PlacementSettings::default()
     };
     // Without a listed VM, the servers of both regions have equal weights.
     state_with(servers.collect(), now).with_placement(placement)
--- a/crates/mh_gateway/tests/fleet/mod.rs
+++ b/crates/mh_gateway/tests/fleet/mod.rs
@@ -160,6 +160,7 @@
         },
         threads: 1,
         memory_mb: 128,
+        usage: None,
         first_start: false,
         lookups: mh_gateway::LookupMode::default(),
         cpu_share: None,
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -181,6 +181,7 @@
             },
             threads: 1,
             memory_mb: 128,
+            usage: None,
             first_start: false,
             placement: crate::PlacementSettings {
                 distribution: crate::PlacementMode::MeasuredDemand,
