--- a/crates/mh_gateway/tests/pipelining.rs
+++ b/crates/mh_gateway/tests/pipelining.rs
@@ -79,6 +79,36 @@
     assert_eq!(order[2..], ["/pay/4", "/safe/5"], "{seen:?}");
 }
 
+/// Guards against a large answer that is cut or mixed with others while it waits for its turn.
+#[tokio::test]
+async fn large_answer_waits_for_its_turn() {
+    const LARGE_BYTES: usize = 1_500_000;
+    let head = "HTTP/1.1 200 OK\r\nmangohook-request-id: ID\r\nstamp: s\r\n";
+    let large = format!("{head}content-length: {LARGE_BYTES}\r\n\r\n{}", "x".repeat(LARGE_BYTES));
+    let large = Reply::Keep(Box::leak(large.into_boxed_str()));
+    let harness = GatewayHarness::start(&[SLOW, large, large]).await;
+    let mut caller = harness.connect().await;
+    let sent: String = (0..4).map(|n| request("GET", &format!("/safe/{n}"), "")).collect();
+    let sent = sent.replace(
+        "GET /safe/3 HTTP/1.1\r\n",
+        "GET /safe/3 HTTP/1.1\r\nconnection: close\r\n",
+    );
+
+    caller.write_all(sent.as_bytes()).await.unwrap();
+
+    let mut bytes = Vec::new();
+    caller.read_to_end(&mut bytes).await.unwrap();
+    let text = String::from_utf8(bytes).unwrap();
+    let lengths: Vec<usize> = text
+        .split("HTTP/1.1 200 OK")
+        .skip(1)
+        .map(|answer| answer.split_once("\r\n\r\n").map_or(0, |(_, body)| body.len()))
+        .collect();
+    let mut sorted = lengths.clone();
+    sorted.sort_unstable();
+    assert_eq!((lengths[3], sorted), (4, vec![4, 4, LARGE_BYTES, LARGE_BYTES]));
+}
+
 /// Guards against a deadline that starts only when the requests ahead are answered.
 #[tokio::test]
 async fn deadline_counts_from_the_arrival() {
