Create the handler's future in place in the service of a connection

The future was stored three times in the future of each request.

Handlers of `serve_with` and `serve_pipelined` have to be `Sync`.

--- a/crates/mh_edge/src/serve.rs
+++ b/crates/mh_edge/src/serve.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 use tokio_io_timeout::TimeoutStream;
 
-use crate::caller_stream::{CallerSocket, CallerStream, StartedRequest};
+use crate::caller_stream::{CallerSocket, CallerStream};
 use crate::pipeline::{AnsweredBody, Pipelining};
 use crate::protocol_timeout_stream::ProtocolTimeoutStream;
 use crate::{Edge, EdgeCfg, ResponseBody};
@@ -121,7 +121,7 @@
 pub fn serve_with<L, H, F>(listener: TcpListener, limits: L, handle: H) -> std::io::Result<CallerPort>
 where
     L: Fn() -> PortLimits + Send + 'static,
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     serve_pipelined(listener, limits, move |req, _arrived| handle(req), None)
@@ -143,7 +143,7 @@
 ) -> std::io::Result<CallerPort>
 where
     L: Fn() -> PortLimits + Send + 'static,
-    H: Fn(Request<Incoming>, Option<Instant>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, Option<Instant>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let addr = listener.local_addr()?;
@@ -162,7 +162,7 @@
 ) -> watch::Sender<()>
 where
     L: Fn() -> PortLimits + Send + 'static,
-    H: Fn(Request<Incoming>, Option<Instant>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, Option<Instant>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let connections = watch::Sender::new(());
@@ -228,7 +228,7 @@
     mut stop: watch::Receiver<()>,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>>
 where
-    H: Fn(Request<Incoming>, Option<Instant>) -> F + Send + 'static,
+    H: Fn(Request<Incoming>, Option<Instant>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let mut builder = Builder::new(TokioExecutor::new());
@@ -255,18 +255,23 @@
         service_fn(move |req: Request<Incoming>| {
             let is_http1 = req.version() < Version::HTTP_2;
             let (arrived, started) = socket.on_taken(&req);
-            let answer = match started {
-                None => Answer::Handled(handle(req, arrived)),
-                Some((head, started)) if head.is_same(&req) => Answer::Started(started),
-                Some(_) => Answer::Unexpected,
-            };
-            let socket = Arc::clone(&socket);
+            let (handle, answering) = (handle.clone(), Arc::clone(&socket));
             async move {
+                // The handler's future is large, so that it is created in place.
+                let answer = std::pin::pin!(async {
+                    match started {
+                        None => Ok(handle(req, arrived).await),
+                        Some((head, started)) if head.is_same(&req) => started.response().await,
+                        Some(_) => Err(Error::new(ErrorKind::InvalidData, "another request was started")),
+                    }
+                });
                 tokio::select! {
                     biased;
-                    answer = answer.response() => Ok(finish(answer?, socket, is_http1)),
+                    answer = answer => Ok(finish(answer?, Arc::clone(&answering), is_http1)),
                     // Ends the connection and with it the requests that the caller has sent ahead.
-                    () = socket.left(), if is_http1 => Err(Error::new(ErrorKind::ConnectionAborted, "the caller has left")),
+                    () = answering.left(), if is_http1 => {
+                        Err(Error::new(ErrorKind::ConnectionAborted, "the caller has left"))
+                    }
                 }
             }
         })
@@ -297,25 +302,6 @@
     .await
 }
 
-/// Response of a request that the HTTP library has taken.
-enum Answer<F> {
-    Handled(F),
-    /// The request was started before its turn.
-    Started(StartedRequest),
-    /// Another request was started in place of this one.
-    Unexpected,
-}
-
-impl<F: Future<Output = Response<ResponseBody>>> Answer<F> {
-    async fn response(self) -> std::io::Result<Response<ResponseBody>> {
-        match self {
-            Self::Handled(answer) => Ok(answer.await),
-            Self::Started(started) => started.response().await,
-            Self::Unexpected => Err(Error::new(ErrorKind::InvalidData, "another request was started")),
-        }
-    }
-}
-
 /// Prepares a response for the HTTP library. `Connection: close` is moved to the last request that was started, as the
 /// caller sends all requests behind it again.
 fn finish(mut answer: Response<ResponseBody>, socket: Arc<CallerSocket>, is_http1: bool) -> Response<AnsweredBody> {
