--- a/crates/mh_gateway/src/request/admission_gate.rs
+++ b/crates/mh_gateway/src/request/admission_gate.rs
@@ -68,7 +68,7 @@
 
     /// Records the result of the request, unless it says nothing about capacity.
     pub(super) fn on_result(&self, refusal: Option<&Refusal>, remaining: Duration) {
-        let is_served = match refusal.map(|refusal| refusal.code()) {
+        let is_served = match refusal.map(Refusal::code) {
             None => true,
             Some(Code::NoCapacity | Code::AnswerTimeout | Code::DeadlinePassed) => false,
             Some(_) => return,
