Keep the port of the test address that refuses connections

The address that is to refuse connections was the port of a listener that had been dropped, so that the server of another test of the same process could get it: the one test's request went to the server of the other, which must not see any. A bound socket that does not listen keeps the port and refuses connections. Shown by reading the failure (the one server missed a request, the other saw one), not by a second failure; the seven tests pass with the change.

--- a/crates/mh_gateway/tests/cut_off.rs
+++ b/crates/mh_gateway/tests/cut_off.rs
@@ -44,6 +44,8 @@
     server: ScriptedServer,
     /// Connections that fill the queue of the address that hangs.
     _held: (TcpListener, Vec<TcpStream>),
+    /// Socket of the address that refuses connections.
+    _refusing: TcpSocket,
 }
 
 impl CutFleet {
@@ -51,8 +53,12 @@
         let server = ScriptedServer::start(replies).await;
         let (listener, filling) = full_listener().await;
         let hanging = listener.local_addr().expect("a bound address");
-        let refusing = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port");
-        let refusing = refusing.local_addr().expect("a bound address");
+        // A bound socket that does not listen refuses connections, and no other test gets its port.
+        let refusing_socket = TcpSocket::new_v4().expect("a socket");
+        refusing_socket
+            .bind(([127, 0, 0, 1], 0).into())
+            .expect("a loopback port");
+        let refusing = refusing_socket.local_addr().expect("a bound address");
         let store = MemoryStore::new();
         for vm in cut_off {
             let addr = match cut {
@@ -75,6 +81,7 @@
             fleet,
             server,
             _held: (listener, filling),
+            _refusing: refusing_socket,
         }
     }
 
