--- a/crates/mh_gateway/src/control/usage_loop.rs
+++ b/crates/mh_gateway/src/control/usage_loop.rs
@@ -1,4 +1,5 @@
-use std::net::SocketAddr;
+mod messages;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -6,14 +7,11 @@
 use mh_member::MemberState;
 use mh_platform::Result;
 use mh_types::{Event, StoreVersion, VmName, emit};
-use mh_usage::{
-    CallOutcome, Claiming, Duty, DutyHolder, DutyRow, Fleet, Msg, Params, StoredUsage, Token, WindowRecord,
-};
+use mh_usage::{CallOutcome, Claiming, Duty, DutyHolder, DutyRow, Fleet, Params, StoredUsage, Token, WindowRecord};
 use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, MissedTickBehavior};
 
-use super::Datagram;
 use crate::node::{GatewayNode, lock};
 use crate::request::machine_wall;
 use crate::{Feed, UsageReporter, WriteOutcome};
@@ -33,9 +31,6 @@
 /// Longest wait for a response of the platform, which may be slow. Reports of other windows do not wait for it.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Time for the last messages of a VM that stops.
-const HANDOVER_TIME: Duration = Duration::from_millis(50);
-
 /// The duty of reporting usage, as one VM sees it.
 #[derive(Debug)]
 pub(crate) struct UsageDuty {
@@ -358,102 +353,3 @@
         Err(e) => emit!(Event::StoreWriteFailed, what = what, error = e.current_context()),
     }
 }
-
-impl GatewayNode {
-    /// Returns the holder of the duty as the feed names it.
-    fn known_usage_duty(&self) -> Option<DutyRow> {
-        lock(&self.deployment).usage_duty.clone()
-    }
-
-    /// Sends this VM's counts to the holder.
-    fn send_usage(&self, now: Instant) {
-        let (Some(usage), Some(known)) = (self.usage.get(), self.known_usage_duty()) else {
-            return;
-        };
-        let mut duty = lock(&usage.duty);
-        // The feed may not name this VM yet.
-        let own = token_of(&duty);
-        let token = own.unwrap_or(known.token);
-        let messages = self.gateway.usage().with(|counter, clock| {
-            let (wall, own_wall) = (clock.wall(now), clock.own(now));
-            counter.messages(wall, own_wall, token)
-        });
-        let messages = messages.unwrap_or_default();
-        if let Duty::Holding(holding) = &mut *duty {
-            let vm = &self.cfg.vm;
-            let acks: Vec<_> = messages
-                .iter()
-                .filter_map(|msg| holding.on_counts(now, vm, msg))
-                .collect();
-            drop(duty);
-            for ack in acks {
-                self.on_usage_ack(&ack, now);
-            }
-            return;
-        }
-        drop(duty);
-        let addr = self.peer_addr(&known.holder).filter(|_| known.holder != self.cfg.vm);
-        let Some(addr) = addr else { return };
-        for msg in messages {
-            self.send_to(addr, &Datagram::Usage(Msg::Counts(msg)));
-        }
-    }
-
-    /// Handles a message about usage, which another VM sent from `addr`.
-    pub(crate) fn on_usage_msg(&self, from: &VmName, addr: SocketAddr, msg: Msg, now: Instant) {
-        let Some(usage) = self.usage.get() else { return };
-        match msg {
-            Msg::Counts(counts) => {
-                let ack = match &mut *lock(&usage.duty) {
-                    Duty::Holding(holding) => holding.on_counts(now, from, &counts),
-                    Duty::Waiting(_) | Duty::Claiming(_) => None,
-                };
-                if let Some(ack) = ack {
-                    self.send_to(addr, &Datagram::Usage(Msg::Ack(ack)));
-                }
-            }
-            Msg::Ack(ack) => self.on_usage_ack(&ack, now),
-        }
-    }
-
-    fn on_usage_ack(&self, ack: &mh_usage::Ack, now: Instant) {
-        self.gateway.usage().with(|counter, clock| {
-            counter.on_ack(ack);
-            if let Some(wall) = ack.wall {
-                clock.observe_fleet(now, wall);
-            }
-        });
-    }
-
-    /// Sends this VM's last counts before the process ends.
-    pub(crate) async fn hand_over_usage(&self) {
-        if self.usage.get().is_some() {
-            self.send_usage(Instant::now());
-            tokio::time::sleep(HANDOVER_TIME).await;
-        }
-    }
-
-    /// Returns the state of the usage reports; `None` if none are made.
-    pub(crate) fn usage_view(&self) -> Option<UsageView> {
-        let usage = self.usage.get()?;
-        let holder = self.known_usage_duty().map(|row| row.holder);
-        let (lost, counted_windows) = self
-            .gateway
-            .usage()
-            .with(|counter, _| (counter.lost(), counter.windows()))?;
-        let duty = lock(&usage.duty);
-        let (next_window, pending) = match &*duty {
-            Duty::Holding(holding) => (Some(holding.next_window()), holding.reports().len()),
-            Duty::Waiting(_) | Duty::Claiming(_) => (None, 0),
-        };
-        Some(UsageView {
-            holder,
-            token: token_of(&duty),
-            next_window,
-            pending,
-            reported: usage.reported.load(Ordering::Relaxed),
-            lost,
-            counted_windows,
-        })
-    }
-}
--- a/crates/mh_gateway/src/request.rs
+++ b/crates/mh_gateway/src/request.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod forward;
 mod gateway;
+mod head;
 mod limit_gate;
 mod outgoing;
 mod request_context;
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -1,4 +1,3 @@
-use std::hash::Hasher;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -9,21 +8,23 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, Uri};
 use mh_edge::{
     PipelineBounds, PipelineLoad, PoisonGate, Refusal, ResponseBody, admit_request, drain, may_run_concurrently,
     total_bytes,
 };
 use mh_poison::Fingerprint;
 use mh_types::{Code, Event, Run, VmName, emit};
-use siphasher::sip::SipHasher13;
-use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::admission_gate::AdmissionGate;
 use super::body::Body;
 use super::counters::{Counters, RunningGuard, increment};
 use super::forward::forward;
+use super::head::{
+    NOT_READY_RETRY_AFTER, allowed_regions, authorise, caller_deadline, find_route, not_run, object_hash,
+    refusal_with_retry_after, requested_host,
+};
 use super::limit_gate::LimitGate;
 use super::outgoing::forwarded_head;
 use super::request_context::RequestContext;
@@ -32,9 +33,6 @@
 use crate::{Bounds, HeaderNames, HostRoute, LiveState, Plan, PlanOrg, QuotaPeers};
 use mh_edge::BufferBudget;
 
-/// `Retry-After` of refusals while this VM is not ready.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// `Retry-After` of refusals while this VM is shutting down; another VM can serve at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -466,95 +464,6 @@
     ]))
 }
 
-fn not_run(code: Code) -> Refusal {
-    Refusal::new(code, Run::NotRun)
-}
-
-fn refusal_with_retry_after(code: Code, wait: Duration) -> Refusal {
-    not_run(code).with_retry_after(Some(wait))
-}
-
 fn random_request_id() -> HeaderValue {
     HeaderValue::from_str(&format!("{:032x}", rand::random::<u128>())).unwrap_or_else(|_| HeaderValue::from_static("0"))
 }
-
-/// Returns the requested host in lower case, without the port.
-fn requested_host(header: Option<&HeaderValue>, uri_host: Option<&str>) -> Option<String> {
-    let header = header.and_then(|value| value.to_str().ok());
-    let host = uri_host.or(header)?;
-    let name = host.split_once(':').map_or(host, |(name, _)| name);
-    (!name.is_empty()).then(|| name.to_ascii_lowercase())
-}
-
-/// Returns the route of a request; an error if there is none, if the route is unreadable, or if the path
-/// may belong to a route that could not be decoded.
-fn find_route<'a>(plan: &'a Plan, host: &str, path: &str) -> Result<&'a Arc<HostRoute>, Refusal> {
-    match plan.route(host, path) {
-        Some(route) if !route.targets.is_empty() => Ok(route),
-        None if !plan.unreadable.routes => Err(not_run(Code::NoRoute)),
-        _ => Err(refusal_with_retry_after(Code::PartUnreadable, NOT_READY_RETRY_AFTER)),
-    }
-}
-
-/// Returns the organisation that a request is made for. Open routes need no key; a known key still identifies its
-/// organisation.
-fn authorise(
-    plan: &Plan,
-    route: &HostRoute,
-    headers: &HeaderMap,
-    names: &HeaderNames,
-) -> Result<Option<Arc<PlanOrg>>, Refusal> {
-    let key = headers.get(&names.key).and_then(|value| value.to_str().ok());
-    let org = key.and_then(|key| plan.org_of_key(key));
-    match (org, key) {
-        (Some(org), _) => Ok(Some(Arc::clone(org))),
-        (None, _) if route.open || !plan.has_keys() => Ok(None),
-        (None, Some(key)) if plan.unreadable.may_hold(key) => {
-            Err(refusal_with_retry_after(Code::PartUnreadable, NOT_READY_RETRY_AFTER))
-        }
-        (None, Some(_)) => Err(not_run(Code::KeyUnknown)),
-        (None, None) => Err(not_run(Code::KeyMissing)),
-    }
-}
-
-/// Returns the time at which the caller stops waiting; the route's timeout if the header is missing.
-fn caller_deadline(
-    headers: &HeaderMap,
-    names: &HeaderNames,
-    arrived: Instant,
-    route: &HostRoute,
-) -> Result<Instant, Refusal> {
-    let Some(value) = headers.get(&names.deadline_ms) else {
-        return Ok(arrived + route.timeout);
-    };
-    let ms: Option<u64> = value.to_str().ok().and_then(|text| text.trim().parse().ok());
-    let ms = ms.ok_or_else(|| not_run(Code::DeadlineInvalid))?;
-    // An hour is longer than any caller waits and cannot overflow the clock.
-    Ok(arrived + Duration::from_millis(ms.min(3_600_000)))
-}
-
-fn object_hash(headers: &HeaderMap, names: &HeaderNames) -> Option<u64> {
-    let value = headers.get(&names.object)?;
-    let mut hasher = SipHasher13::new();
-    hasher.write(value.as_bytes());
-    Some(hasher.finish())
-}
-
-/// Returns the regions that both the route and the organisation allow; empty for all.
-fn allowed_regions(route: &HostRoute, org: Option<&PlanOrg>) -> Result<SmallVec<[mh_types::RegionName; 4]>, Refusal> {
-    let org_regions = org.map_or(&[][..], |org| &org.regions);
-    let allowed: SmallVec<[mh_types::RegionName; 4]> = match (route.regions.is_empty(), org_regions.is_empty()) {
-        (_, true) => route.regions.iter().cloned().collect(),
-        (true, false) => org_regions.iter().cloned().collect(),
-        (false, false) => route
-            .regions
-            .iter()
-            .filter(|r| org_regions.contains(r))
-            .cloned()
-            .collect(),
-    };
-    if allowed.is_empty() && !(route.regions.is_empty() && org_regions.is_empty()) {
-        return Err(not_run(Code::NoServer));
-    }
-    Ok(allowed)
-}
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -1,4 +1,8 @@
-use std::collections::{BTreeMap, HashMap};
+mod assigned;
+mod reports;
+mod views;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -7,17 +11,13 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::assignment::{MoveCounts, ObjectChoiceView, ObjectView};
 use super::pool_assignment::{PoolAssignment, Share};
 use super::rendezvous::{score, weight};
 use super::server_stats::ObjectServerStats;
-use super::{
-    AgedLoad, ListedServer, ObjectRequest, ObjectServerView, Placement, PlacementError, RegionDistribution,
-    StatedLoadView,
-};
+use super::{ListedServer, ObjectRequest, Placement, PlacementError, RegionDistribution};
 use crate::ServerSpec;
 use crate::clock::{Clock, Micros, micros};
-use mh_types::{DomainName, ServerName};
+use mh_types::ServerName;
 
 /// Maximum of servers that an object is sent to. A server caches a few dozen objects; if a busy service spread each
 /// object over all servers, none would hold it, and responses would be several times slower just when the service is at
@@ -273,87 +273,6 @@
         out
     }
 
-    /// Servers that the request may be sent to by the stable assignment. `None` for requests without an object, packed
-    /// requests, and if too few usable servers are near the front of the object's order; all servers are then compared.
-    fn assigned_candidates(&self, request: &ObjectRequest<'_>, at: Micros) -> Option<SmallVec<[Candidate; 16]>> {
-        let assignment = self.assignment.as_ref()?;
-        let object = request.object.filter(|_| !request.pack)?;
-        assignment.note(object);
-        let may_use = |index: usize| allows(&self.servers[index], request);
-        let is_open = |index: usize, is_first: bool| {
-            let Server {
-                spec,
-                stats,
-                kept_percent,
-                ..
-            } = &self.servers[index];
-            // A server that is being drained gets no objects as their second choice.
-            (is_first || *kept_percent >= 100)
-                && !request.exclude.contains(&spec.name)
-                && stats.accepts_requests(at)
-                && stats.cold_limiter.allows_request(at)
-                && stats.full_for(at) == 0
-        };
-        let (first, open) = assignment
-            .table()
-            .choices(object, MAX_SERVERS_PER_OBJECT, may_use, is_open);
-        let first = first?;
-        let candidates: SmallVec<[Candidate; 16]> = open
-            .into_iter()
-            .enumerate()
-            .map(|(position, index)| Candidate {
-                index,
-                weight: u64::MAX >> position,
-                is_first: index == first,
-            })
-            .collect();
-        (candidates.len() == MAX_SERVERS_PER_OBJECT).then_some(candidates)
-    }
-
-    /// Moves of objects between servers; `None` without a stable assignment.
-    pub fn moves(&self) -> Option<&MoveCounts> {
-        self.assignment.as_ref().map(PoolAssignment::counts)
-    }
-
-    /// Servers of some recently requested objects, for the state dump; empty without a stable assignment.
-    pub fn object_views(&self, now: Instant) -> Vec<ObjectView> {
-        let at = self.clock.micros(now);
-        let assignment = self.assignment.iter();
-        let objects = assignment.flat_map(|assignment| assignment.recent().map(move |object| (assignment, object)));
-        objects
-            .map(|(assignment, object)| {
-                let first = assignment.table().first(object, |_| true);
-                let others = |index: usize| Some(index) != first;
-                let others = assignment.table().servers(object, MAX_SERVERS_PER_OBJECT, others);
-                let choice = |(index, reasons): (usize, [&'static str; 4])| {
-                    let Server { spec, stats, .. } = &self.servers[index];
-                    let [usable, cold, closed, full] = reasons;
-                    let why = if !stats.accepts_requests(at) {
-                        closed
-                    } else if stats.cold_limiter.is_cold(at) {
-                        cold
-                    } else if stats.full_for(at) > 0 {
-                        full
-                    } else {
-                        usable
-                    };
-                    ObjectChoiceView {
-                        server: spec.name.clone(),
-                        why,
-                    }
-                };
-                let firsts = first.map(|index| (index, ["first", "first, cold", "first, closed", "first, full"]));
-                let nexts = others
-                    .into_iter()
-                    .map(|index| (index, ["next", "next, cold", "next, closed", "next, full"]));
-                ObjectView {
-                    object: format!("{object:016x}"),
-                    servers: firsts.into_iter().chain(nexts).map(choice).collect(),
-                }
-            })
-            .collect()
-    }
-
     /// Whether a cold server could serve the request later, once its rate limit allows it.
     fn has_cold_server(&self, request: &ObjectRequest<'_>, at: Micros) -> bool {
         let may_serve =
@@ -425,41 +344,6 @@
         }
     }
 
-    /// Takes the loads that servers reported to this VM since the last call, to be sent to other VMs.
-    ///
-    /// In a large fleet, a VM sends too few requests to each server to learn the length of its queue by itself.
-    pub fn take_reports(&self) -> impl Iterator<Item = (&ServerName, u32)> {
-        let reports = self.servers.iter();
-        reports.filter_map(|server| Some((&server.spec.name, server.stats.take_report()?)))
-    }
-
-    /// Takes the loads of servers that state their speed, reported to this VM since the last call, to be sent to other
-    /// VMs.
-    pub fn take_aged_loads(&self, now: Instant) -> impl Iterator<Item = (&ServerName, AgedLoad)> {
-        let at = self.clock.micros(now);
-        let servers = self.servers.iter();
-        servers.filter_map(move |server| Some((&server.spec.name, server.stats.take_aged_load(at)?)))
-    }
-
-    /// Records the load that a server with a stated speed reported to another VM, unless a newer one is known; returns
-    /// `false` if the server is not in the pool.
-    pub fn on_aged_load(&self, now: Instant, name: &ServerName, load: AgedLoad) -> bool {
-        let index = self.index_by_name.get(name);
-        if let Some(index) = index {
-            self.servers[*index].stats.on_aged_load(self.clock.micros(now), load);
-        }
-        index.is_some()
-    }
-
-    /// Records the load that a server reported to another VM; returns `false` if the server is not in the pool.
-    pub fn on_report(&self, now: Instant, name: &ServerName, load: u32) -> bool {
-        let index = self.index_by_name.get(name);
-        if let Some(index) = index {
-            self.servers[*index].stats.on_report(self.clock.micros(now), load);
-        }
-        index.is_some()
-    }
-
     /// Forgets the failures of all servers, because their cause was this VM's own links.
     pub fn clear_failures(&self) {
         self.servers.iter().for_each(|server| server.stats.clear_failures());
@@ -485,54 +369,6 @@
         let accepting = self.servers.iter().filter(|server| !server.leaving);
         accepting.map(|server| server.spec.slots).fold(0, u32::saturating_add)
     }
-
-    /// Number of servers that stated a slow moment within the time for which a speed counts.
-    pub fn slow_servers(&self, now: Instant) -> usize {
-        let at = self.clock.micros(now);
-        let factors = self.servers.iter().map(|server| server.stats.newest.speed_factor(at));
-        factors.filter(|factor| *factor > 1.0).count()
-    }
-
-    /// Slots of the servers that take new requests, and fractions of the objects' first choices, by failure domain.
-    pub fn capacity_by_domain(&self) -> (BTreeMap<DomainName, f64>, BTreeMap<DomainName, f64>) {
-        let mut slots = BTreeMap::new();
-        let mut fractions = BTreeMap::new();
-        for server in self.servers.iter().filter(|server| !server.leaving) {
-            *slots.entry(server.spec.domain.clone()).or_default() += f64::from(server.spec.slots);
-            *fractions.entry(server.spec.domain.clone()).or_default() += server.object_weight;
-        }
-        let sum: f64 = fractions.values().sum();
-        if sum > 0.0 {
-            for fraction in fractions.values_mut() {
-                *fraction /= sum;
-            }
-        }
-        (slots, fractions)
-    }
-
-    /// State of every server, for the state dump.
-    pub fn view(&self, now: Instant) -> Vec<ObjectServerView> {
-        let at = self.clock.micros(now);
-        let servers = self.servers.iter();
-        servers
-            .map(|server| ObjectServerView {
-                name: server.spec.name.clone(),
-                version: server.spec.version.clone(),
-                leaving: server.leaving,
-                cold: server.stats.cold_limiter.is_cold(at),
-                closed: !server.stats.accepts_requests(at),
-                in_flight: load(&server.stats.in_flight),
-                others: server.stats.others(at),
-                error_rate: server.stats.error_rate(at),
-                slowness: server.stats.slowness(at),
-                stated: server.stats.newest.get().map(|entry| StatedLoadView {
-                    others: entry.requests,
-                    speed: entry.speed,
-                    age_ms: entry.age_us(at) / 1000,
-                }),
-            })
-            .collect()
-    }
 }
 
 fn load(counter: &AtomicU32) -> u32 {
