Add review case 6: a process with two threads hangs for good

CONFIG breaks: apply_batch holds the lock of the feeds while it takes that of the deployment state, and update_membership takes them the other way round. With more than one worker thread, which the deploy file asks for on a machine with several cores, both threads wait for ever, and the process answers nothing any more.

--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -12,6 +12,8 @@
 
 /// Time after which a bound of the rules applies again (`stable`).
 const STABLE: Duration = Duration::from_millis(3000);
+/// Timeout of each route.
+const TIMEOUT: Duration = Duration::from_millis(1200);
 /// Bound of the rules on a leaving server (`drain`).
 const DRAIN: Duration = Duration::from_millis(2000);
 
@@ -28,6 +30,7 @@
         "leaving" => leaving(&mut world, program, folder, trouble),
         "deadly" => deadly(&mut world, program, folder, trouble),
         "framing" => framing(&mut world, program, folder, trouble),
+        "hang" => hang(&mut world, program, folder, trouble),
         "rolled-back" => rolled_back(&mut world, program, folder, trouble),
         _ => Err(format!("no case {case}")),
     }?;
@@ -52,8 +55,12 @@
 
 impl World {
     fn begin(&mut self, vms: usize, program: &Path, folder: &Path) -> Result<(), String> {
-        configure(&self.store);
-        self.vms = (0..vms).map(|n| Vm::new(n, &self.store, folder)).collect();
+        self.begin_with_cores(vms, 1, program, folder)
+    }
+
+    fn begin_with_cores(&mut self, vms: usize, cores: usize, program: &Path, folder: &Path) -> Result<(), String> {
+        configure(&self.store, 3);
+        self.vms = (0..vms).map(|n| Vm::new(n, cores, &self.store, folder)).collect();
         start(&mut self.vms, program)?;
         self.note("all machines are ready");
         Ok(())
@@ -63,7 +70,7 @@
         for n in 0..count {
             let name = format!("i-{service}-{version}-{n}");
             let server = Server::start(
-                (&name, service, zone(n), version),
+                (&name, service, zone(n % 3), version),
                 behaviour.clone(),
                 &self.store,
                 &self.ledger,
@@ -303,3 +310,71 @@
     ));
     Ok(exposed.len() as f64 > allowed)
 }
+
+/// Machines with two cores get changes of the configuration, and servers start again.
+fn hang(world: &mut World, program: &Path, folder: &Path, trouble: bool) -> Result<bool, String> {
+    const MACHINES: usize = 90;
+    /// Length of a series of changes, in changes that are 0.33 s apart, and of the pause after it.
+    const SERIES: u64 = 12;
+    let behaviour = Behaviour {
+        work: ms(10),
+        ..Behaviour::default()
+    };
+    world.add_servers("stock", "v1", 6, &behaviour);
+    world.add_servers("orders", "v1", 6, &behaviour);
+    let cores = if trouble { 2 } else { 1 };
+    world.begin_with_cores(MACHINES, cores, program, folder)?;
+    world.note(&format!("{MACHINES} machines with {cores} cores each"));
+    world.load(2, ms(500), &[("GET", "/stock/"), ("POST", "/orders/")]);
+    let mut version = 3;
+    let mut silent = [0; MACHINES];
+    for round in 1.. {
+        if round % (SERIES + 3) < SERIES {
+            version += 1 + round % 3;
+            configure(&world.store, version);
+        }
+        world.servers[round as usize % world.servers.len()].register("ready");
+        std::thread::sleep(ms(330));
+        if round % 10 != 0 {
+            continue;
+        }
+        for vm in 0..MACHINES {
+            silent[vm] = if world.vms[vm].is_ready() { 0 } else { silent[vm] + 1 };
+        }
+        if silent.iter().any(|rounds| *rounds >= 3) || world.ledger.now() > Duration::from_secs(104) {
+            break;
+        }
+    }
+    // Time for the clients of a machine that hangs to find that out.
+    std::thread::sleep(ms(4000));
+    let hung: Vec<usize> = (0..MACHINES).filter(|vm| silent[*vm] >= 3).collect();
+    for vm in &hung {
+        let is_running = world.vms[*vm].is_running();
+        world.note(&format!(
+            "vm {vm} has answered three readiness checks 3 s apart with nothing; its process runs: {is_running}"
+        ));
+    }
+    let end = world.ledger.now();
+    world.end();
+    let sent = world.ledger.sent.lock().unwrap().clone();
+    // Those that can be judged by now.
+    let judged = sent.values().filter(|sent| sent.at + TIMEOUT + ms(500) < end);
+    let is_open = |sent: &&crate::ledger::Sent, after: Duration| {
+        sent.answered
+            .is_none_or(|(at, status)| status == 0 || at > sent.at + after)
+    };
+    let at_timeout: Vec<_> = judged.filter(|sent| is_open(sent, TIMEOUT)).collect();
+    let later: Vec<_> = at_timeout
+        .iter()
+        .filter(|sent| is_open(sent, TIMEOUT + ms(500)))
+        .collect();
+    let at_hung = later.iter().filter(|sent| hung.contains(&sent.vm)).count();
+    world.note(&format!(
+        "{} of {MACHINES} machines hang; {} of {} requests were unanswered at the timeout of their route, and {} half a second later, {at_hung} of these at machines that hang",
+        hung.len(),
+        at_timeout.len(),
+        sent.len(),
+        later.len()
+    ));
+    Ok(!hung.is_empty() && later.len() * 2 > at_timeout.len())
+}
--- a/review/harness-2/server.rs
+++ b/review/harness-2/server.rs
@@ -49,7 +49,7 @@
         store: &Arc<Store>,
         ledger: &Arc<Ledger>,
     ) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind("127.78.0.1:0").unwrap();
         let server = Arc::new(Self {
             name: name.to_owned(),
             service: service.to_owned(),
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -85,7 +85,7 @@
 
     /// Serves the calls of one machine.
     pub fn serve(self: &Arc<Self>) -> Door {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind("127.79.0.1:0").unwrap();
         let door = Door {
             addr: listener.local_addr().unwrap(),
             mode: Arc::default(),
--- a/review/harness-2/world.rs
+++ b/review/harness-2/world.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,14 @@
 
 pub const KEY: &str = "key-of-granite-coast";
 pub const HOST: &str = "orders.example";
-const ZONES: [(&str, &str); 3] = [("me-north", "maine"), ("vt-river", "vermont"), ("ma-pioneer", "mass")];
+const ZONES: [(&str, &str); 6] = [
+    ("me-north", "maine"),
+    ("vt-river", "vermont"),
+    ("ma-pioneer", "mass"),
+    ("nh-lakes", "hampshire"),
+    ("ny-hudson", "york"),
+    ("ct-valley", "connecticut"),
+];
 
 pub fn zone(n: usize) -> &'static str {
     ZONES[n % ZONES.len()].0
@@ -30,19 +37,22 @@
     process: Option<Child>,
 }
 
-/// Returns an address whose port is free for TCP and UDP.
+/// Next port to try. It lies below those of outgoing connections, so that none takes it before its process does.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns an address whose port is free for TCP and UDP, and which was not returned before.
 fn free_addr() -> SocketAddr {
+    let first = 20_000 + (std::process::id() % 40) as u16 * 250;
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        if UdpSocket::bind(addr).is_ok() {
+        let addr = SocketAddr::from(([127, 77, 0, 1], first + NEXT_PORT.fetch_add(1, Ordering::SeqCst)));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return addr;
         }
     }
 }
 
 impl Vm {
-    pub fn new(n: usize, store: &Arc<Store>, folder: &Path) -> Self {
+    pub fn new(n: usize, cores: usize, store: &Arc<Store>, folder: &Path) -> Self {
         let door = store.serve();
         let [callers, health, lookups, peers] = [free_addr(), free_addr(), free_addr(), free_addr()];
         let (domain, region) = ZONES[n % ZONES.len()];
@@ -52,7 +62,7 @@
         // What the template of the deploy file gives for a small deployment.
         let text = format!(
             "vm: \"front-{domain}-{n}\"\ndomain: \"{domain}\"\nregion: \"{region}\"\nregions: {{{zones}}}\nlisten:\n  \
-             callers: \"{callers}\"\n  health: \"{health}\"\n  lookups: \"{lookups}\"\n  peers: \"{peers}\"\nthreads: 1\n\
+             callers: \"{callers}\"\n  health: \"{health}\"\n  lookups: \"{lookups}\"\n  peers: \"{peers}\"\nthreads: {cores}\n\
              descriptors: 4100\nmemory_mb: 260\nfirst_start: true\npromises:\n  shutdown_grace: 6s\n  lookup_lifetime: 5s\n  \
              settle: 3000ms\n  retry_ratio: 0.2\n  retry_slack: 60\n  retry_window: 10s\n  settings_in_force: 2000ms\n  \
              exposure_share: 0.1\nplatform:\n  address: \"{}\"\nplacement: {{\"distribution\":\"region\"}}\nlookups: region\n\
@@ -86,6 +96,13 @@
         Ok(())
     }
 
+    /// Returns whether the process runs, even if it answers nothing.
+    pub fn is_running(&mut self) -> bool {
+        self.process
+            .as_mut()
+            .is_some_and(|process| matches!(process.try_wait(), Ok(None)))
+    }
+
     pub fn is_ready(&self) -> bool {
         let request = "GET /api/ready HTTP/1.1\r\nHost: ready\r\n\r\n";
         let answer = Conn::open(self.health, Duration::from_millis(200))
@@ -109,7 +126,7 @@
 
 /// Writes the first configuration: requests for `stock` are idempotent, those for `orders` and `deposits` are not. The
 /// service `orders` serves both of the latter.
-pub fn configure(store: &Store) {
+pub fn configure(store: &Store, version: u64) {
     let service = |name: &str| {
         format!(
             "{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":360,\"protocol\":\"h1\",\"tls\":false,\
@@ -124,7 +141,7 @@
         )
     };
     let config = format!(
-        "{{\"version\":3,\"routes\":[{},{},{}],\"services\":[{},{}],\"limits\":{{\"max_header_bytes\":16384,\
+        "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{},{}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}},\"tenants\":[{{\
          \"name\":\"granite\",\"api_keys\":[\"{KEY}\"],\"priority\":1,\"rate_per_s\":0,\"burst\":0,\"home_regions\":[]}}]}}",
         route("stock", "idempotent", "stock"),
