--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -341,7 +341,7 @@
         for vm in 0..MACHINES {
             silent[vm] = if world.vms[vm].is_ready() { 0 } else { silent[vm] + 1 };
         }
-        if silent.iter().any(|rounds| *rounds >= 3) || world.ledger.now() > Duration::from_secs(104) {
+        if silent.iter().any(|rounds| *rounds >= 3) || world.ledger.now() > Duration::from_secs(96) {
             break;
         }
     }
