--- a/crates/mh_edge/src/caller_stream.rs
+++ b/crates/mh_edge/src/caller_stream.rs
@@ -1,10 +1,11 @@
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::{Pin, pin};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use hyper::{Request, Response};
+use mh_sync::{Mutex, MutexGuard};
 use rustix::net::{Shutdown, shutdown};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
@@ -78,7 +79,7 @@
 
     fn state(&self) -> MutexGuard<'_, State> {
         // The bytes stay consistent if another thread panics.
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock()
     }
 
     /// Waits until the caller has closed its connection.
--- a/crates/mh_edge/src/poison_gate.rs
+++ b/crates/mh_edge/src/poison_gate.rs
@@ -1,9 +1,10 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use mh_poison::{AnsweredTable, CrashGuard, Fingerprint, Msg, Outbox, Quarantined, ServerRun};
+use mh_sync::Mutex;
 use mh_types::{Code, Event, ServerName, VmName, emit};
 use tokio::time::Instant;
 
@@ -18,11 +19,6 @@
 /// A server, and the start of its run where that is known.
 type LostAt = (ServerName, Option<u64>);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    // Guarded values are changed in single steps, so that they stay consistent if another thread panics.
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The requests that crash servers, as requests and control loops use them.
 ///
 /// While nothing is suspected, requests read one atomic flag and record their answers in a table of atomics.
@@ -58,7 +54,7 @@
 
     /// Runs `f` with the decision state, and logs which requests it quarantines or releases.
     pub fn with<T>(&self, f: impl FnOnce(&mut CrashGuard, &AnsweredTable) -> T) -> T {
-        let mut guard = lock(&self.guard);
+        let mut guard = self.guard.lock();
         let now = Instant::now();
         let before = guard.quarantined(now);
         let out = f(&mut guard, &self.answered);
@@ -106,12 +102,12 @@
         if !self.has_records.load(Ordering::Relaxed) {
             return Ok(());
         }
-        lock(&self.guard).admit(Instant::now(), fingerprint)
+        self.guard.lock().admit(Instant::now(), fingerprint)
     }
 
     /// Returns whether a request that was lost may be sent to another server for the same attempt of its caller.
     pub fn may_retry(&self, fingerprint: &Fingerprint) -> bool {
-        !self.has_records.load(Ordering::Relaxed) || lock(&self.guard).may_retry(fingerprint)
+        !self.has_records.load(Ordering::Relaxed) || self.guard.lock().may_retry(fingerprint)
     }
 
     /// Records that a server answered a request.
@@ -133,7 +129,7 @@
         fingerprint: Fingerprint,
     ) {
         let lost_at = (server.clone(), run);
-        let mut lost = lock(&self.lost);
+        let mut lost = self.lost.lock();
         let is_first = !lost.contains_key(&lost_at);
         lost.entry(lost_at.clone()).or_default().push(fingerprint);
         drop(lost);
@@ -154,7 +150,7 @@
             // A VM that reaches no server knows nothing about this one.
             Err(code) => code == Code::NoPath,
         };
-        let lost = lock(&self.lost).remove(&lost_at).unwrap_or_default();
+        let lost = self.lost.lock().remove(&lost_at).unwrap_or_default();
         if is_up {
             return;
         }
--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -1,6 +1,7 @@
 mod announce_loop;
 mod backend_inputs;
 mod capacity_reports;
+mod control_state;
 mod datagram;
 mod demand_reports;
 mod deployment_state;
@@ -23,6 +24,7 @@
 pub use deployment_state::DeploymentState;
 
 pub(crate) use capacity_reports::Capacities;
+pub(crate) use control_state::ControlState;
 pub(crate) use datagram::{Datagram, encode};
 pub(crate) use quota_controller::QuotaController;
 
--- a/crates/mh_gateway/src/control/capacity_reports.rs
+++ b/crates/mh_gateway/src/control/capacity_reports.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::Datagram;
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 use crate::{AnnouncedVm, GatewaySettings, LookupMode};
 
 /// VMs that each report is sent to. It bounds a VM's traffic regardless of the region's size.
@@ -123,7 +123,7 @@
         let open = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
         let is_cut_off = self.gateway.paths().is_cut_off();
         let (msg, round) = {
-            let mut capacities = lock(&self.capacities);
+            let mut capacities = self.capacities.lock();
             capacities.measure(now, cpu, bytes, open, is_cut_off);
             capacities.told.retain(|_, (at, ..)| now < *at + REPORT_AGE);
             capacities.rounds = capacities.rounds.wrapping_add(1);
@@ -153,14 +153,14 @@
     /// Handles the size and spare capacity of another VM.
     pub(crate) fn on_capacity(&self, from: &VmName, size: u32, spare: u8, now: Instant) {
         // Without the entry, any sender could make this VM keep memory for it.
-        if self.cfg.lookups == LookupMode::Domain && lock(&self.deployment).vm(from).is_some() {
-            lock(&self.capacities).told.insert(from.clone(), (now, size, spare));
+        if self.cfg.lookups == LookupMode::Domain && self.control.lock().deployment.vm(from).is_some() {
+            self.capacities.lock().told.insert(from.clone(), (now, size, spare));
         }
     }
 
     /// Sets the VMs that look-ups by failure domain return.
     pub(crate) fn set_lookup_vms<'a>(&self, vms: impl Iterator<Item = &'a AnnouncedVm>) {
-        let capacities = lock(&self.capacities);
+        let capacities = self.capacities.lock();
         let mut vms: Vec<ZonalVm> = vms
             .map(|vm| {
                 let (size, spare) = if vm.vm == self.cfg.vm {
--- a/crates/mh_gateway/src/control/demand_reports.rs
+++ b/crates/mh_gateway/src/control/demand_reports.rs
@@ -7,7 +7,7 @@
 
 use super::Datagram;
 use crate::PlacementMode;
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 
 impl GatewayNode {
     /// Takes the measured demand and exchanges it with other VMs, where the settings ask for it. Called every
@@ -17,7 +17,7 @@
             return;
         }
         let live = self.gateway.live();
-        let elapsed = lock(&self.demand).since_round(now);
+        let elapsed = self.demand.lock().since_round(now);
         let mut own: BTreeMap<ServiceName, f64> = BTreeMap::new();
         let mut services = Vec::new();
         for (service, backends) in &live.backends {
@@ -35,7 +35,7 @@
             listed,
             services,
         };
-        let round = lock(&self.demand).on_round(now, &own, &fleet);
+        let round = self.demand.lock().on_round(now, &own, &fleet);
         for (vm, msg) in round.out {
             if let Some(addr) = self.peer_addr(&vm) {
                 self.send_to(addr, &Datagram::Demand(msg));
@@ -48,7 +48,7 @@
 
     /// Handles a message about demand.
     pub(crate) fn on_demand_msg(&self, from: &VmName, msg: &DemandMsg, now: Instant) {
-        if self.cfg.placement.distribution == PlacementMode::MeasuredDemand && lock(&self.demand).on_msg(now, from, msg)
+        if self.cfg.placement.distribution == PlacementMode::MeasuredDemand && self.demand.lock().on_msg(now, from, msg)
         {
             self.apply_fractions(now);
         }
@@ -56,12 +56,11 @@
 
     /// Returns the live VMs and the number of listed VMs by failure domain.
     fn vms_by_domain(&self) -> (BTreeMap<DomainName, BTreeSet<VmName>>, BTreeMap<DomainName, f64>) {
-        let deployment = lock(&self.deployment);
-        let membership = lock(&self.membership);
-        let view = membership.view();
+        let control = self.control.lock();
+        let view = control.membership.view();
         let mut alive: BTreeMap<DomainName, BTreeSet<VmName>> = BTreeMap::new();
         let mut listed: BTreeMap<DomainName, f64> = BTreeMap::new();
-        for vm in deployment.vms() {
+        for vm in control.deployment.vms() {
             *listed.entry(vm.domain.clone()).or_default() += 1.0;
             if matches!(view.state(&vm.vm), Some(MemberState::Alive)) {
                 alive.entry(vm.domain.clone()).or_default().insert(vm.vm.clone());
@@ -73,7 +72,7 @@
     /// Places requests by the fractions in force.
     fn apply_fractions(&self, now: Instant) {
         let (fractions, notable) = {
-            let mut demand = lock(&self.demand);
+            let mut demand = self.demand.lock();
             (demand.fractions().clone(), demand.take_notable_changes())
         };
         for (service, before, own) in notable {
@@ -85,7 +84,7 @@
                 own = format_args!("{own:.2}")
             );
         }
-        lock(&self.deployment).set_domain_fractions(fractions);
+        self.control.lock().deployment.set_domain_fractions(fractions);
         self.count_placement_step();
         self.rebuild(now);
     }
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -9,13 +9,14 @@
 use std::time::Duration;
 
 use mh_poison::Fingerprint;
+use mh_shift::Verdict;
 use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
 use mh_usage::DutyRow;
 use tokio::time::Instant;
 
 use super::backend_inputs::BackendInputs;
 use super::known_server::KnownServer;
-use super::shift_controller::ShiftController;
+use super::shift_controller::{ShiftCanary, ShiftController, next_record};
 use crate::{
     AnnouncedVm, Assignment, Batch, Bounds, Feed, PlacementSettings, Plan, RegisteredServer, ShiftOrder, ShiftRecord,
     StoredQuarantine, Update,
@@ -153,10 +154,9 @@
         }
     }
 
-    /// Returns the quarantines in the store for which `is_over` holds.
-    pub(crate) fn quarantines_over(&self, is_over: impl Fn(&StoredQuarantine) -> bool) -> Vec<Fingerprint> {
-        let over = self.quarantines.values().filter(|stored| is_over(stored));
-        over.map(|stored| stored.fingerprint).collect()
+    /// Returns the requests whose quarantine is in the store.
+    pub(crate) fn quarantined(&self) -> Vec<Fingerprint> {
+        self.quarantines.values().map(|stored| stored.fingerprint).collect()
     }
 
     /// Returns the time within which entries are listed again after an outage or a restore of the source.
@@ -175,6 +175,12 @@
         self.vms.values()
     }
 
+    /// Returns the listed VMs of a region with their failure domains.
+    pub(crate) fn vms_of_region(&self, region: &RegionName) -> Vec<(VmName, DomainName)> {
+        let vms = self.vms.values().filter(|vm| vm.region == *region);
+        vms.map(|vm| (vm.vm.clone(), vm.domain.clone())).collect()
+    }
+
     /// Returns the entry of a listed VM.
     pub fn vm(&self, vm: &VmName) -> Option<&AnnouncedVm> {
         self.vms.get(vm)
@@ -195,6 +201,22 @@
         self.read_feeds.contains(&feed)
     }
 
+    /// Returns the record that is to be written next for a shift; `None` while none is due, or if the shift was ordered
+    /// anew since `canary` was chosen. `verdict` is what its evidence says.
+    pub(super) fn next_shift_record(
+        &self,
+        canary: &ShiftCanary,
+        verdict: Verdict,
+        now: Instant,
+    ) -> Option<ShiftRecord> {
+        let service = &canary.service;
+        let order = self.orders.get(service).filter(|order| order.version == canary.order)?;
+        let record = self.records.get(service);
+        let (no_record, clock) = (self.no_record_version()?, self.store_clock(now)?);
+        let due = next_record(order, record, canary.rank, verdict, no_record, clock);
+        due.or_else(|| record.filter(|_| self.is_record_outdated(service)).cloned())
+    }
+
     /// Returns the next time after `now` at which the state changes without an update.
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let servers = self.servers.values();
--- a/crates/mh_gateway/src/control/feed_outage.rs
+++ b/crates/mh_gateway/src/control/feed_outage.rs
@@ -8,7 +8,7 @@
 
 use super::reader_report::FeedVersions;
 use crate::Feed;
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 
 /// Wait after the first failed read; it doubles up to the maximum.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -55,7 +55,7 @@
     pub(super) fn on_failure(&mut self, started: Instant, held: Option<FeedVersions>, e: &Report<PlatformError>) {
         let now = Instant::now();
         if !self.node.relay.is_failing(self.feed) {
-            lock(&self.node.deployment).on_feed_lost(self.feed);
+            self.node.control.lock().deployment.on_feed_lost(self.feed);
             emit!(
                 Event::FeedLost,
                 feed = self.feed,
@@ -104,7 +104,10 @@
         let Self { node, feed, .. } = self;
         let entries_may_have_expired = lost_at.elapsed() > MIN_EXPIRY_OUTAGE;
         emit!(Event::FeedBack, feed = feed, after_ms = lost_at.elapsed().as_millis());
-        lock(&node.deployment).on_feed_recovered(*feed, self.last_failed_read_at, entries_may_have_expired);
+        node.control
+            .lock()
+            .deployment
+            .on_feed_recovered(*feed, self.last_failed_read_at, entries_may_have_expired);
         if *feed == Feed::Servers && entries_may_have_expired {
             node.relay.on_registry_recovered(self.last_failed_read_at);
         }
--- a/crates/mh_gateway/src/control/load_reports.rs
+++ b/crates/mh_gateway/src/control/load_reports.rs
@@ -5,7 +5,7 @@
 use super::datagram::{StatedLoad, StatedLoads};
 use super::{Datagram, encode};
 use crate::LiveState;
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 
 /// VMs that each report is sent to. It bounds a VM's traffic regardless of the region's size.
 const REPORT_FAN_OUT: usize = 12;
@@ -49,7 +49,7 @@
         if loads.is_empty() {
             return;
         }
-        let (run, sent_ms) = lock(&self.load_clocks).own(now);
+        let (run, sent_ms) = self.load_clocks.lock().own(now);
         self.send_to_some(round, &Datagram::StatedLoads(StatedLoads { run, sent_ms, loads }));
     }
 
@@ -66,11 +66,8 @@
             .skip(from)
             .take(REPORT_FAN_OUT.min(peers.len()))
             .collect();
-        let deployment = lock(&self.deployment);
-        for vm in chosen {
-            if let Some(addr) = deployment.vm(vm).map(|vm| vm.peers) {
-                self.send_bytes(addr, &bytes);
-            }
+        for addr in self.listed_addrs(chosen) {
+            self.send_bytes(addr, &bytes);
         }
     }
 
@@ -86,7 +83,7 @@
 
     /// Applies the loads that servers with a stated speed reported to the VM `from`.
     pub(crate) fn on_stated_loads(&self, from: &VmName, msg: &StatedLoads, now: Instant) {
-        let Some(age) = lock(&self.load_clocks).others.age(now, from, msg.run, msg.sent_ms) else {
+        let Some(age) = self.load_clocks.lock().others.age(now, from, msg.run, msg.sent_ms) else {
             return;
         };
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -2,9 +2,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mh_limit::LimitVm;
 use mh_member::{Member, MemberState, View, VmList, VmListEntry};
 use mh_path::TunnelVm;
-use mh_types::{Event, RegionName, VmName, emit};
+use mh_types::{DomainName, Event, RegionName, VmName, emit};
 use std::net::SocketAddr;
 use tokio::time::{Instant, MissedTickBehavior};
 
@@ -12,9 +13,9 @@
 use super::limit_messages::admitting_vms;
 use super::shift_writer::run_shifts;
 use super::stale_vms::update_vm_list;
-use super::{Datagram, DeploymentState, QuotaController};
+use super::{ControlState, Datagram, DeploymentState, QuotaController};
 use crate::SuspendDetector;
-use crate::node::{GatewayNode, UnlistedVm, lock};
+use crate::node::{GatewayNode, UnlistedVm};
 use crate::{AnnouncedVm, Feed, LookupMode};
 
 /// Time between two ticks of the membership protocol.
@@ -81,7 +82,7 @@
     let now = Instant::now();
     match datagram {
         Datagram::Member(msg) => {
-            let out = lock(&node.membership).on_msg(now, from, msg);
+            let out = node.control.lock().membership.on_msg(now, from, msg);
             node.send_membership(out);
         }
         Datagram::News(report) => node.on_reader_report(from, *report, now),
@@ -89,11 +90,11 @@
         Datagram::Loads(loads) => node.on_load_reports(&loads, now),
         Datagram::StatedLoads(msg) => node.on_stated_loads(from, &msg, now),
         Datagram::Lend(msgs) => {
-            let out = lock(&node.quotas).on_msgs(from, &msgs, now);
+            let out = node.control.lock().quotas.on_msgs(from, &msgs, now);
             node.send_lending(out);
         }
         Datagram::Take { number, org } => {
-            let answer = lock(&node.quotas).decide_for_peer(&org);
+            let answer = node.control.lock().quotas.decide_for_peer(&org);
             if let (Some(answer), Some(addr)) = (answer, node.peer_addr(from)) {
                 node.send_to(addr, &Datagram::Taken { number, answer });
             }
@@ -110,7 +111,7 @@
         Datagram::Demand(msg) => node.on_demand_msg(from, &msg, now),
         Datagram::Usage(msg) => node.on_usage_msg(from, addr, msg, now),
         Datagram::Handover(msg) => {
-            let answer = lock(&node.quotas).on_handover(from, &msg, now);
+            let answer = node.control.lock().quotas.on_handover(from, &msg, now);
             if let Some(answer) = answer {
                 // The sender may be missing in this VM's list.
                 node.send_to(addr, &Datagram::Handover(answer));
@@ -126,9 +127,9 @@
     if node.is_change_due(now) || changed {
         node.rebuild(now);
     }
-    let out = lock(&node.membership).on_tick(now, rand::random());
+    let out = node.control.lock().membership.on_tick(now, rand::random());
     node.send_membership(out);
-    let out = lock(&node.quotas).on_tick(now);
+    let out = node.control.lock().quotas.on_tick(now);
     node.send_lending(out);
     ask_for_lists(node, now);
     node.tick_limits(now);
@@ -160,18 +161,22 @@
 
 /// Asks other VMs for their lists of VMs, as far as this VM waits for slots of quotas.
 fn ask_for_lists(node: &Arc<GatewayNode>, now: Instant) {
-    if !lock(&node.quotas).waits_for_handover() {
+    if !node.control.lock().quotas.waits_for_handover() {
         return;
     }
     let dead = {
-        let membership = lock(&node.membership);
-        let view = membership.view();
+        let control = node.control.lock();
+        let view = control.membership.view();
         let dead = view
             .members()
             .filter(|member| view.state_of(member) == MemberState::Dead);
         dead.map(|member| member.record.vm.clone()).collect::<HashSet<_>>()
     };
-    let (questions, probes) = lock(&node.quotas).handover_questions(now, |vm| dead.contains(vm));
+    let (questions, probes) = node
+        .control
+        .lock()
+        .quotas
+        .handover_questions(now, |vm| dead.contains(vm));
     for (vm, msg) in questions {
         if let Some(addr) = node.peer_addr(&vm) {
             node.send_to(addr, &Datagram::Handover(msg));
@@ -182,7 +187,7 @@
         tokio::spawn(async move {
             // A VM answers only those in its list.
             if node.ask_quota(&vm, &org).await.is_some() {
-                lock(&node.quotas).on_listed_by(&vm, Instant::now());
+                node.control.lock().quotas.on_listed_by(&vm, Instant::now());
             }
         });
     }
@@ -207,102 +212,142 @@
 /// Passes the VM list to the membership protocol and applies its view; returns the live VMs and the number of VMs that
 /// share limits.
 fn update_membership(node: &Arc<GatewayNode>, now: Instant) -> (Vec<VmName>, u32) {
-    let deployment = lock(&node.deployment);
-    let mut membership = lock(&node.membership);
-    if deployment.has_read(Feed::Vms) {
-        let list = VmList {
-            vms: deployment
-                .vms()
-                .map(|vm| VmListEntry {
-                    vm: vm.vm.clone(),
-                    domain: vm.domain.clone(),
-                    region: vm.region.clone(),
-                    addr: Some(vm.peers),
-                    leaving: false,
-                })
-                .collect(),
+    let update = MembershipUpdate::take(node, now);
+    if let Some(region_vms) = update.region_vms {
+        node.relay.set_vms(region_vms, now);
+    }
+    let region = &node.cfg.region;
+    node.relay
+        .set_no_live_peers(!update.tunnel_vms.iter().any(|vm| vm.region == *region));
+    node.gateway.paths().set_tunnel_vms(region, update.tunnel_vms);
+    if node.cfg.lookups == LookupMode::Domain {
+        node.set_lookup_vms(update.lookup_vms.iter());
+    }
+    if let Some(admitting) = update.admitting {
+        let limits = node.gateway.limits();
+        limits.with(|limits| limits.set_vms(now, &admitting, update.listed));
+    }
+    node.set_unlisted_vms(update.unlisted);
+    update_vm_list(node, update.removable, update.lost, update.should_announce);
+    node.set_vms(update.alive.len(), update.listed, update.callers);
+    (update.alive, node.sharing_vms())
+}
+
+/// What the list of VMs and the view of the membership protocol say at one moment.
+struct MembershipUpdate {
+    /// The VMs of this VM's region, if the list changed.
+    region_vms: Option<Vec<(VmName, DomainName)>>,
+    alive: Vec<VmName>,
+    /// Number of listed VMs, at least 1.
+    listed: usize,
+    /// Live VMs that accept callers.
+    callers: Vec<(RegionName, SocketAddr)>,
+    tunnel_vms: Vec<TunnelVm>,
+    /// VMs that look-ups by failure domain return.
+    lookup_vms: Vec<AnnouncedVm>,
+    /// VMs that admit requests of servers with a limit; `None` before the first read of the list.
+    admitting: Option<Vec<LimitVm>>,
+    /// VMs that are up and missing in the list.
+    unlisted: Vec<UnlistedVm>,
+    /// VMs whose entries should be removed from the list.
+    removable: Vec<VmName>,
+    /// VMs whose entries a restore of the store lost.
+    lost: Vec<AnnouncedVm>,
+    /// Whether this VM should write its own entry.
+    should_announce: bool,
+}
+
+impl MembershipUpdate {
+    fn take(node: &GatewayNode, now: Instant) -> Self {
+        let mut control = node.control.lock();
+        let control = &mut *control;
+        let region_vms = follow_list(node, control, now);
+        let (deployment, view) = (&control.deployment, control.membership.view());
+        let is_leaving = node.gateway.is_leaving();
+        let is_own = |vm: &VmName| *vm == node.cfg.vm;
+        let is_alive = |vm: &VmName| matches!(view.state(vm), Some(MemberState::Alive));
+        let is_usable = |vm: &VmName| is_alive(vm) && !(is_leaving && is_own(vm));
+        let usable: Vec<&AnnouncedVm> = deployment.vms().filter(|vm| is_usable(&vm.vm)).collect();
+        let others = || usable.iter().filter(|vm| !is_own(&vm.vm));
+        let own = node.announced();
+        let mut alive: Vec<VmName> = usable.iter().map(|vm| vm.vm.clone()).collect();
+        let mut callers: Vec<_> = usable.iter().map(|vm| (vm.region.clone(), vm.callers)).collect();
+        if !alive.contains(&own.vm) && !is_leaving {
+            alive.push(own.vm.clone());
+            callers.push((own.region.clone(), own.callers));
+        }
+        let tunnel_vms = others().map(|vm| TunnelVm {
+            vm: vm.vm.clone(),
+            region: vm.region.clone(),
+            addr: vm.peers,
+        });
+        let mut lookup_vms: Vec<AnnouncedVm> = Vec::new();
+        if node.cfg.lookups == LookupMode::Domain {
+            lookup_vms.extend(others().map(|vm| AnnouncedVm::clone(vm)));
+            lookup_vms.extend((!is_leaving).then(|| own.clone()));
+        }
+        let has_list = deployment.has_read(Feed::Vms);
+        let admitting =
+            has_list.then(|| admitting_vms(deployment.vms(), |vm| (is_own(vm) && !is_leaving) || is_usable(vm)));
+        // The lists of VMs that can read the store agree sooner if each follows the store alone.
+        let max_age_ms = node.gateway.bounds().settings_in_force.as_millis() as u64;
+        let is_current = control.age_ms(Feed::Settings, now).is_some_and(|ms| ms <= max_age_ms);
+        let unlisted = if is_current {
+            Vec::new()
+        } else {
+            unlisted_vms(deployment, view)
         };
-        if node.replace_list(&list) {
-            let region = deployment.vms().filter(|vm| vm.region == node.cfg.region);
-            let region = region.map(|vm| (vm.vm.clone(), vm.domain.clone()));
-            node.relay.set_vms(region.collect(), now);
-            membership.on_list(now, &list);
+        // A restarted VM whose entry is unchanged need not write it again.
+        let is_listed = deployment.vm(&own.vm) == Some(&own) && deployment.is_vm_stored(&own.vm);
+        let is_own_entry_missing = has_list && !is_listed && !is_leaving;
+        let dead = deployment
+            .vms()
+            .filter(|vm| view.state(&vm.vm) == Some(MemberState::Dead));
+        let dead: Vec<VmName> = dead.map(|vm| vm.vm.clone()).collect();
+        let is_first = alive.iter().min() == Some(&own.vm);
+        let stale = &mut control.stale_vms;
+        let mut removable = stale.due(&own.vm, &alive, dead, now);
+        // Only the VMs that read the store see these.
+        let revived = deployment.revived_vms();
+        removable.extend(revived.into_iter().filter(|vm| stale.claim_attempt(vm, now)));
+        let lost = deployment.lost_vms(deployment.entry_return(), now).into_iter();
+        let lost = lost.filter(|vm| is_first && stale.claim_attempt(&vm.vm, now)).collect();
+        let should_announce = is_own_entry_missing && stale.claim_attempt(&own.vm, now);
+        Self {
+            region_vms,
+            listed: deployment.vms().count().max(1),
+            callers,
+            tunnel_vms: tunnel_vms.collect(),
+            lookup_vms,
+            admitting,
+            unlisted,
+            removable,
+            lost,
+            should_announce,
+            alive,
         }
     }
-    let view = membership.view();
-    let is_usable = |vm: &VmName| matches!(view.state(vm), Some(MemberState::Alive)) && !node.is_this_vm_leaving(vm);
-    let mut alive: Vec<VmName> = Vec::new();
-    let mut callers: Vec<(RegionName, SocketAddr)> = Vec::new();
-    for vm in deployment.vms().filter(|vm| is_usable(&vm.vm)) {
-        alive.push(vm.vm.clone());
-        callers.push((vm.region.clone(), vm.callers));
+}
+
+/// Passes a changed list of VMs to the membership protocol; returns the listed VMs of this VM's region then.
+fn follow_list(node: &GatewayNode, control: &mut ControlState, now: Instant) -> Option<Vec<(VmName, DomainName)>> {
+    let deployment = &control.deployment;
+    if !deployment.has_read(Feed::Vms) {
+        return None;
     }
-    let is_region_peer = |vm: &AnnouncedVm| vm.region == node.cfg.region && vm.vm != node.cfg.vm;
-    let tunnel_vms = deployment.vms().filter(|vm| vm.vm != node.cfg.vm && is_usable(&vm.vm));
-    let tunnel_vms = tunnel_vms.map(|vm| TunnelVm {
+    let vms = deployment.vms().map(|vm| VmListEntry {
         vm: vm.vm.clone(),
+        domain: vm.domain.clone(),
         region: vm.region.clone(),
-        addr: vm.peers,
+        addr: Some(vm.peers),
+        leaving: false,
     });
-    node.gateway
-        .paths()
-        .set_tunnel_vms(&node.cfg.region, tunnel_vms.collect());
-    let has_region_peers = deployment.vms().any(|vm| is_region_peer(vm) && is_usable(&vm.vm));
-    node.relay.set_no_live_peers(!has_region_peers);
-    let dead = deployment
-        .vms()
-        .filter(|vm| view.state(&vm.vm) == Some(MemberState::Dead));
-    let dead: Vec<VmName> = dead.map(|vm| vm.vm.clone()).collect();
-    let own = node.announced();
-    if node.cfg.lookups == LookupMode::Domain {
-        let others = deployment.vms().filter(|vm| vm.vm != own.vm && is_usable(&vm.vm));
-        let own = (!node.gateway.is_leaving()).then_some(&own);
-        node.set_lookup_vms(others.chain(own));
-    }
-    // A restarted VM whose entry is unchanged need not write it again.
-    let is_listed = deployment.vm(&own.vm) == Some(&own) && deployment.is_vm_stored(&own.vm);
-    let is_own_entry_missing = deployment.has_read(Feed::Vms) && !is_listed && !node.gateway.is_leaving();
-    if !alive.contains(&own.vm) && !node.gateway.is_leaving() {
-        alive.push(own.vm);
-        callers.push((own.region, own.callers));
-    }
-    let listed = deployment.vms().count().max(1);
-    if deployment.has_read(Feed::Vms) {
-        let is_own = |vm: &VmName| *vm == node.cfg.vm && !node.gateway.is_leaving();
-        let admitting = admitting_vms(deployment.vms(), |vm| is_own(vm) || is_usable(vm));
-        let limits = node.gateway.limits();
-        limits.with(|limits| limits.set_vms(now, &admitting, listed));
-    }
-    let lost = deployment.lost_vms(deployment.entry_return(), now);
-    let revived = deployment.revived_vms();
-    // The lists of VMs that can read the store agree sooner if each follows the store alone.
-    let max_age_ms = node.gateway.bounds().settings_in_force.as_millis() as u64;
-    let is_current = node
-        .relay
-        .age_ms(Feed::Settings, now)
-        .is_some_and(|ms| ms <= max_age_ms);
-    let unlisted = if is_current {
-        Vec::new()
-    } else {
-        unlisted_vms(&deployment, view)
-    };
-    drop(membership);
-    drop(deployment);
-    node.set_unlisted_vms(unlisted);
-    let mut stale = lock(&node.stale_vms);
-    let mut due = stale.due(node.gateway.vm(), &alive, dead, now);
-    // Only the VMs that read the store see these.
-    due.extend(revived.into_iter().filter(|vm| stale.claim_attempt(vm, now)));
-    let is_first = alive.iter().min() == Some(node.gateway.vm());
-    let lost = lost
-        .into_iter()
-        .filter(|vm| is_first && stale.claim_attempt(&vm.vm, now));
-    let lost = lost.collect();
-    let should_announce = is_own_entry_missing && stale.claim_attempt(node.gateway.vm(), now);
-    drop(stale);
-    update_vm_list(node, due, lost, should_announce);
-    node.set_vms(alive.len(), listed, callers);
-    (alive, node.sharing_vms())
+    let list = VmList { vms: vms.collect() };
+    let region_vms = deployment.vms_of_region(&node.cfg.region);
+    control.replace_list(&list).then(|| {
+        control.membership.on_list(now, &list);
+        region_vms
+    })
 }
 
 #[cfg(test)]
--- a/crates/mh_gateway/src/control/relay.rs
+++ b/crates/mh_gateway/src/control/relay.rs
@@ -3,20 +3,20 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use mh_platform::HttpClient;
 use mh_relay::{Election, RelayTimings};
+use mh_sync::Mutex;
 use mh_types::{DomainName, Event, StoreVersion, VmName, emit};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::feed_states::FeedStates;
+use super::ControlState;
 use super::reader_report::FeedVersions;
 use crate::Feed;
-use crate::node::lock;
 
 pub(crate) use catch_up::{CHANGES_PATH, parse_changes_query};
 
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Relay {
     election: Mutex<Election>,
-    feeds: Mutex<FeedStates>,
+    control: Arc<Mutex<ControlState>>,
     is_reader: watch::Sender<bool>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
     is_fetching: AtomicBool,
@@ -65,14 +65,19 @@
 }
 
 impl Relay {
-    pub(crate) fn new(own_vm: VmName, propagation_deadline: Duration, now: Instant) -> Self {
+    pub(crate) fn new(
+        own_vm: VmName,
+        propagation_deadline: Duration,
+        control: Arc<Mutex<ControlState>>,
+        now: Instant,
+    ) -> Self {
         Self {
             election: Mutex::new(Election::new(
                 own_vm,
                 RelayTimings::for_deadline(propagation_deadline),
                 now,
             )),
-            feeds: Mutex::default(),
+            control,
             is_reader: watch::Sender::new(true),
             clients: Mutex::default(),
             is_fetching: AtomicBool::new(false),
@@ -88,7 +93,8 @@
 
     /// Returns the versions of `feed` and the time since they were confirmed, for the state dump.
     pub(crate) fn feed_state(&self, feed: Feed, now: Instant) -> serde_json::Value {
-        let feeds = lock(&self.feeds);
+        let control = self.control.lock();
+        let feeds = &control.feeds;
         let versions = feeds.versions(feed);
         serde_json::json!({
             "feed": feed.to_string(),
@@ -101,8 +107,7 @@
 
     /// Returns the milliseconds since the state of `feed` was confirmed as the newest; `None` before the first read.
     pub(crate) fn age_ms(&self, feed: Feed, now: Instant) -> Option<u64> {
-        let at = lock(&self.feeds).confirmed_at(feed)?;
-        Some(now.saturating_duration_since(at).as_millis() as u64)
+        self.control.lock().age_ms(feed, now)
     }
 
     /// Returns whether `feed` is held up to at least version `min`.
@@ -120,11 +125,11 @@
 
     /// Returns the versions held of `feed`; `None` if it must be read in full.
     pub(crate) fn versions(&self, feed: Feed) -> Option<FeedVersions> {
-        lock(&self.feeds).versions(feed)
+        self.control.lock().feeds.versions(feed)
     }
 
     pub(crate) fn invalidate(&self, feed: Feed) {
-        lock(&self.feeds).invalidate(feed);
+        self.control.lock().feeds.invalidate(feed);
         if feed == Feed::Vms {
             self.vm_list_version.send_replace(None);
         }
@@ -133,7 +138,7 @@
     /// Records that the store is in `era`. If it was restored since this VM last learned its era, the reads of all feeds
     /// start over.
     pub(crate) fn note_era(&self, era: u64) {
-        let is_restored = lock(&self.feeds).note_era(era);
+        let is_restored = self.control.lock().feeds.note_era(era);
         if is_restored {
             self.on_restored(era);
         }
@@ -157,7 +162,7 @@
 
     /// Discards the versions of `feed` if they are from before a restore of the store.
     pub(crate) fn invalidate_outdated(&self, feed: Feed) {
-        let is_outdated = lock(&self.feeds).invalidate_outdated(feed);
+        let is_outdated = self.control.lock().feeds.invalidate_outdated(feed);
         if is_outdated && feed == Feed::Vms {
             self.vm_list_version.send_replace(None);
         }
@@ -165,7 +170,7 @@
 
     /// Returns whether a report from `era` is from before a restore of the store.
     pub(crate) fn is_era_over(&self, era: u64) -> bool {
-        lock(&self.feeds).is_era_over(era)
+        self.control.lock().feeds.is_era_over(era)
     }
 
     pub(crate) fn is_reader(&self) -> bool {
@@ -174,7 +179,7 @@
 
     /// Returns whether this VM is one of the preferred readers, which retry soon after a failure.
     pub(crate) fn is_preferred_reader(&self) -> bool {
-        lock(&self.election).is_preferred_reader()
+        self.election.lock().is_preferred_reader()
     }
 
     /// Waits until this VM is a reader.
@@ -185,7 +190,7 @@
 
     /// Returns whether this VM's last read of `feed` failed.
     pub(crate) fn is_failing(&self, feed: Feed) -> bool {
-        lock(&self.feeds).is_failing(feed)
+        self.control.lock().feeds.is_failing(feed)
     }
 
     /// Returns the longest wait of a call for changes of `feed`. Calls for the settings are short where other VMs rely
@@ -197,7 +202,7 @@
         if self.is_failing(feed) {
             return Duration::ZERO;
         }
-        let election = lock(&self.election);
+        let election = self.election.lock();
         let tells_others = !election.all_vms_read() && !self.no_live_peers.load(Ordering::Relaxed);
         let timings = election.timings();
         match feed {
@@ -208,7 +213,7 @@
     }
 
     pub(crate) fn set_propagation_deadline(&self, deadline: Duration) {
-        lock(&self.election).set_timings(RelayTimings::for_deadline(deadline));
+        self.election.lock().set_timings(RelayTimings::for_deadline(deadline));
     }
 
     /// Records whether no other VM of the region is considered alive; then no VM relies on this one's reports.
@@ -218,27 +223,27 @@
 
     /// Returns the other VMs of the region.
     pub(crate) fn peers(&self) -> Vec<VmName> {
-        lock(&self.election).peers().cloned().collect()
+        self.election.lock().peers().cloned().collect()
     }
 
     /// Sets the listed VMs of this VM's region.
     pub(crate) fn set_vms(&self, vms: Vec<(VmName, DomainName)>, now: Instant) {
-        let mut election = lock(&self.election);
+        let mut election = self.election.lock();
         election.set_vms(vms, now);
         self.update_reader_role(&election);
     }
 
     pub(crate) fn on_tick(&self, now: Instant) {
-        let mut election = lock(&self.election);
+        let mut election = self.election.lock();
         election.on_tick(now);
         self.update_reader_role(&election);
     }
 
     /// Records the outcome of a call of this VM to the store; returns whether calls began to fail with it.
     fn record_read(&self, feed: Feed, succeeded: bool, now: Instant) -> bool {
-        let was_failing = lock(&self.feeds).set_failing(feed, !succeeded);
+        let was_failing = self.control.lock().feeds.set_failing(feed, !succeeded);
         if !succeeded {
-            let mut election = lock(&self.election);
+            let mut election = self.election.lock();
             election.on_read_failed(now);
             self.update_reader_role(&election);
         }
@@ -247,19 +252,19 @@
 
     /// Records that the store failed a call that was sent at `sent_at`, or has not answered it in time.
     pub(crate) fn on_call_lost(&self, sent_at: Instant) {
-        let mut lost_at = lock(&self.lost_at);
+        let mut lost_at = self.lost_at.lock();
         *lost_at = Some(lost_at.map_or(sent_at, |at| at.min(sent_at)));
     }
 
     /// Forgets the calls that were lost, because this VM no longer reads the store.
     pub(crate) fn clear_lost_calls(&self) {
-        *lock(&self.lost_at) = None;
+        *self.lost_at.lock() = None;
     }
 
     /// Records that the store answered a call sent at `answered_at` after one sent at `lost_at` was lost; returns when
     /// the first call of any feed was lost.
     pub(crate) fn on_answered_again(&self, lost_at: Instant, answered_at: Instant) -> Instant {
-        let first_lost_at = lock(&self.lost_at).take();
+        let first_lost_at = self.lost_at.lock().take();
         let lost_at = first_lost_at.map_or(lost_at, |at| at.min(lost_at));
         self.last_outage.send_replace(Some(Outage { lost_at, answered_at }));
         lost_at
@@ -280,12 +285,12 @@
     /// Records `at`, the time of the last failed read of the server registry, after an outage long enough for entries
     /// to expire.
     pub(crate) fn on_registry_recovered(&self, at: Instant) {
-        *lock(&self.registry_down_at) = Some(at);
+        *self.registry_down_at.lock() = Some(at);
     }
 
     /// Discards what other VMs reported, after a suspension of the process.
     pub(crate) fn reset(&self, now: Instant) {
-        let mut election = lock(&self.election);
+        let mut election = self.election.lock();
         election.reset(now);
         self.update_reader_role(&election);
     }
@@ -306,7 +311,7 @@
     }
 
     fn client(&self, addr: SocketAddr) -> Arc<HttpClient> {
-        let mut clients = lock(&self.clients);
+        let mut clients = self.clients.lock();
         let client = clients.entry(addr).or_insert_with(|| {
             let client = HttpClient::new(addr, FETCH_TIMEOUT, MAX_FETCHES_PER_S);
             Arc::new(client.with_max_response_bytes(MAX_FETCH_BYTES))
--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -12,7 +12,7 @@
 use crate::control::encode;
 use crate::control::reader_report::{FetchResponse, ReaderReport};
 use crate::control::repeated_read::read_changes;
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 use crate::request::increment;
 use crate::{Batch, ChangesRead, Feed};
 
@@ -71,15 +71,16 @@
 
     fn encode_changes(&self, feed: Feed, version: StoreVersion) -> Option<Bytes> {
         let now = Instant::now();
-        let feeds = lock(&self.relay.feeds);
-        let versions = feeds.versions(feed)?;
-        let changes = feeds.since(feed, version);
-        let deployment = lock(&self.deployment);
-        let fetched = FetchResponse {
-            clock: deployment.store_clock(now)?,
-            versions,
-            is_whole: changes.is_none(),
-            updates: changes.unwrap_or_else(|| deployment.snapshot(feed, now)),
+        let fetched = {
+            let control = self.control.lock();
+            let versions = control.feeds.versions(feed)?;
+            let changes = control.feeds.since(feed, version);
+            FetchResponse {
+                clock: control.deployment.store_clock(now)?,
+                versions,
+                is_whole: changes.is_none(),
+                updates: changes.unwrap_or_else(|| control.deployment.snapshot(feed, now)),
+            }
         };
         encode(self.gateway.vm(), &fetched).ok().map(Bytes::from)
     }
@@ -93,7 +94,7 @@
         if self.relay.holds(feed, min) {
             return true;
         }
-        let sources = lock(&self.relay.election).sources();
+        let sources = self.relay.election.lock().sources();
         let reported_by = reported_by.filter(|vm| !sources.contains(vm));
         for vm in sources.iter().chain(reported_by) {
             let Some(addr) = self.peer_addr(vm) else { continue };
@@ -185,11 +186,8 @@
     /// Applies the first read of the VM list, which names the VMs to load the other feeds from.
     pub(crate) fn apply_vm_list(&self, batch: &Batch, now: Instant) {
         self.apply_batch(Feed::Vms, batch, true, now);
-        let deployment = lock(&self.deployment);
-        let region = deployment.vms().filter(|vm| vm.region == self.cfg.region);
-        let region = region.map(|vm| (vm.vm.clone(), vm.domain.clone()));
-        self.relay.set_vms(region.collect(), now);
-        drop(deployment);
+        let region = self.control.lock().deployment.vms_of_region(&self.cfg.region);
+        self.relay.set_vms(region, now);
         self.relay.vm_list_version.send_replace(Some(batch.version));
     }
 }
@@ -204,7 +202,7 @@
     }
     node.relay.is_fetching.store(false, Ordering::Release);
     let now = Instant::now();
-    if lock(&node.relay.feeds).compare(&report, now).is_empty() {
+    if node.control.lock().feeds.compare(&report, now).is_empty() {
         node.on_report_confirmed(&from, now);
     }
 }
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -8,7 +8,7 @@
 use crate::control::feed_states::AcceptOutcome;
 use crate::control::reader_report::{Changes, ReaderReport};
 use crate::control::{Datagram, encode};
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 use crate::request::increment;
 use crate::{Batch, Feed, Plan, PlanChange, Update};
 
@@ -38,21 +38,23 @@
 
     /// Records that another VM cannot read the store.
     pub(crate) fn on_reader_failed(&self, from: &VmName) {
-        lock(&self.relay.election).on_reader_failed(from);
+        self.relay.election.lock().on_reader_failed(from);
     }
 
     /// Applies a batch that was read from the store or received from another VM, and reports it to the region.
     pub(crate) fn apply_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) {
         self.relay.note_era(batch.version.era);
-        // The lock is held until the batch is applied, so that no VM is served old contents with newer versions.
-        let mut feeds = lock(&self.relay.feeds);
-        let accepted = feeds.accept(feed, batch, is_whole, now);
+        // Versions and contents change together, so that no VM is served old contents with newer versions.
+        let (accepted, plan_before) = {
+            let mut control = self.control.lock();
+            let accepted = control.feeds.accept(feed, batch, is_whole, now);
+            let plan_before = control.deployment.plan().cloned();
+            if !matches!(accepted, AcceptOutcome::Unchanged) {
+                control.deployment.apply(feed, batch, is_whole, now);
+            }
+            (accepted, plan_before)
+        };
         let is_new = !matches!(accepted, AcceptOutcome::Unchanged);
-        let plan_before = lock(&self.deployment).plan().cloned();
-        if is_new {
-            lock(&self.deployment).apply(feed, batch, is_whole, now);
-        }
-        drop(feeds);
         if is_new && feed == Feed::Vms {
             self.apply_stored_quarantines(&batch.updates, batch.clock);
         }
@@ -74,13 +76,19 @@
         if !self.relay.is_reader() {
             return;
         }
-        let versions = lock(&self.relay.feeds).reportable_versions();
-        let clock = lock(&self.deployment).store_clock(now);
+        let (versions, clock) = {
+            let control = self.control.lock();
+            (control.feeds.reportable_versions(), control.deployment.store_clock(now))
+        };
         let (Some(feeds), Some(clock)) = (versions, clock) else {
             return;
         };
         let entry_return = self.gateway.bounds().entry_return;
-        let registry_down = lock(&self.relay.registry_down_at).map(|at| now.saturating_duration_since(at));
+        let registry_down = self
+            .relay
+            .registry_down_at
+            .lock()
+            .map(|at| now.saturating_duration_since(at));
         let mut report = ReaderReport {
             clock,
             feeds,
@@ -96,12 +104,8 @@
         }
         // Versions and times always encode.
         let Ok(bytes) = bytes else { return };
-        let peers = self.relay.peers();
-        let deployment = lock(&self.deployment);
-        for vm in peers {
-            if let Some(addr) = deployment.vm(&vm).map(|vm| vm.peers) {
-                self.send_bytes(addr, &bytes);
-            }
+        for addr in self.listed_addrs(&self.relay.peers()) {
+            self.send_bytes(addr, &bytes);
         }
     }
 
@@ -114,12 +118,15 @@
         }
         if let Some(age) = report.register_down {
             let at = now.checked_sub(age).unwrap_or(now);
-            lock(&self.deployment).on_feed_recovered(Feed::Servers, at, true);
+            self.control
+                .lock()
+                .deployment
+                .on_feed_recovered(Feed::Servers, at, true);
         }
         if let Some(changes) = report.changes.take() {
             self.apply_reported_changes(changes, report.plan_change.take(), &report, now);
         }
-        let behind = lock(&self.relay.feeds).compare(&report, now);
+        let behind = self.control.lock().feeds.compare(&report, now);
         if behind.is_empty() {
             self.on_report_confirmed(from, now);
         } else if !behind.iter().any(|feed| self.relay.versions(*feed).is_none())
@@ -145,7 +152,7 @@
             return;
         }
         if let Some(change) = plan_change {
-            let plan = lock(&self.deployment).plan().cloned();
+            let plan = self.control.lock().deployment.plan().cloned();
             let Some(next) = plan.and_then(|plan| change.apply(&plan)) else {
                 return;
             };
@@ -161,7 +168,7 @@
     }
 
     pub(super) fn on_report_confirmed(&self, from: &VmName, now: Instant) {
-        lock(&self.relay.election).on_report(from, now);
+        self.relay.election.lock().on_report(from, now);
     }
 }
 
--- a/crates/mh_gateway/src/control/shift_controller.rs
+++ b/crates/mh_gateway/src/control/shift_controller.rs
@@ -66,12 +66,9 @@
         out
     }
 
-    /// Returns the evidence about a shift, for log lines.
-    pub(super) fn evidence(&self, service: &ServiceName) -> String {
-        let canary = self.canaries.get(service);
-        canary.map_or_else(String::new, |(_, canary)| {
-            format!("{}: {}", canary.verdict(), canary.summary())
-        })
+    /// Returns the evidence that this VM collects about the shift of a service.
+    pub(super) fn canary(&self, service: &ServiceName) -> Option<Arc<Canary>> {
+        self.canaries.get(service).map(|(_, canary)| Arc::clone(canary))
     }
 
     /// Sets whether this VM is a canary of a shift; returns whether that changed.
@@ -110,37 +107,46 @@
             *version = to;
         }
     }
+}
 
-    /// Returns the next record of a shift; `None` while none is due. `rank` is this VM's rank among the canaries, and
-    /// `no_record` the version that stands for no record.
-    pub(super) fn next_record(
-        &self,
-        service: &ServiceName,
-        order: &ShiftOrder,
-        record: Option<&ShiftRecord>,
-        rank: usize,
-        no_record: StoreVersion,
-        clock: Duration,
-    ) -> Option<ShiftRecord> {
-        let current = record.filter(|record| record.belongs_to(order));
-        let version = record.map_or(no_record, |record| record.version);
-        let Some(current) = current else {
-            return Some(ShiftRecord {
-                to: order.to.clone(),
-                order: order.version,
-                started: clock,
-                phase: ShiftPhase::Exposing,
-                version,
-                written_in: record.map_or(Some(no_record.era), |record| record.written_in),
-            });
-        };
-        let (_, canary) = self.canaries.get(service)?;
-        let phase = next_phase(current, order, canary.verdict(), RANK_DELAY * rank as u32, clock)?;
-        Some(ShiftRecord {
-            phase,
-            ..current.clone()
-        })
-    }
+/// A shift for which this VM is a canary.
+#[derive(Debug)]
+pub(super) struct ShiftCanary {
+    pub(super) service: ServiceName,
+    /// Version of the shift's order.
+    pub(super) order: StoreVersion,
+    /// Rank of this VM among the canaries.
+    pub(super) rank: usize,
+    pub(super) evidence: Arc<Canary>,
+}
+
+/// Returns the next record of a shift; `None` while none is due. `rank` is this VM's rank among the canaries, `verdict`
+/// what its evidence says, and `no_record` the version that stands for no record.
+pub(super) fn next_record(
+    order: &ShiftOrder,
+    record: Option<&ShiftRecord>,
+    rank: usize,
+    verdict: Verdict,
+    no_record: StoreVersion,
+    clock: Duration,
+) -> Option<ShiftRecord> {
+    let current = record.filter(|record| record.belongs_to(order));
+    let version = record.map_or(no_record, |record| record.version);
+    let Some(current) = current else {
+        return Some(ShiftRecord {
+            to: order.to.clone(),
+            order: order.version,
+            started: clock,
+            phase: ShiftPhase::Exposing,
+            version,
+            written_in: record.map_or(Some(no_record.era), |record| record.written_in),
+        });
+    };
+    let phase = next_phase(current, order, verdict, RANK_DELAY * rank as u32, clock)?;
+    Some(ShiftRecord {
+        phase,
+        ..current.clone()
+    })
 }
 
 fn next_phase(
--- a/crates/mh_gateway/src/control/shift_writer.rs
+++ b/crates/mh_gateway/src/control/shift_writer.rs
@@ -5,45 +5,25 @@
 use std::hash::Hasher;
 use tokio::time::Instant;
 
-use super::shift_controller::CANARY_VMS;
-use crate::node::{GatewayNode, lock};
-use crate::{ShiftOrder, ShiftRecord, WriteOutcome};
+use super::shift_controller::{CANARY_VMS, ShiftCanary};
+use crate::node::GatewayNode;
+use crate::{ShiftRecord, WriteOutcome};
 
 /// Decides for which shifts this VM is a canary, and writes the records that are due; returns whether that decision
 /// changed.
 pub(super) fn run_shifts(node: &Arc<GatewayNode>, alive: &[VmName], vms: u32, now: Instant) -> bool {
-    let mut deployment = lock(&node.deployment);
-    let Some(clock) = deployment.store_clock(now) else {
-        return false;
-    };
-    let orders: Vec<(ServiceName, ShiftOrder)> =
-        deployment.orders.iter().map(|(s, o)| (s.clone(), o.clone())).collect();
-    let mut changed = false;
-    let share = node.gateway.bounds().exposure_share;
-    for (service, order) in orders {
-        let rank = rank(&service, alive, node.gateway.vm());
-        let is_canary = rank.is_some_and(|rank| rank < CANARY_VMS);
-        changed |= deployment
-            .shift_controller
-            .set_canary(&service, &order, is_canary, share, vms);
-        let Some(rank) = rank.filter(|rank| *rank < CANARY_VMS) else {
-            continue;
-        };
-        let Some(no_record) = deployment.no_record_version() else {
-            continue;
-        };
-        let record = deployment.records.get(&service);
-        let due = deployment
-            .shift_controller
-            .next_record(&service, &order, record, rank, no_record, clock);
-        let due = due.or_else(|| record.filter(|_| deployment.is_record_outdated(&service)).cloned());
+    let (canaries, changed) = choose_canaries(node, alive, vms);
+    for canary in canaries {
+        let verdict = canary.evidence.verdict();
+        let due = node.control.lock().deployment.next_shift_record(&canary, verdict, now);
+        let service = canary.service;
         if let Some(due) = due.filter(|due| node.claim_shift_write(&service, due.phase, now)) {
             emit!(
                 Event::ShiftDecided,
                 service = service,
                 to = due.to,
                 phase = format_args!("{:?}", due.phase),
-                evidence = deployment.shift_controller.evidence(&service)
+                evidence = format_args!("{verdict}: {}", canary.evidence.summary())
             );
             tokio::spawn(write_record(Arc::clone(node), service, due));
         }
@@ -51,6 +31,29 @@
     changed
 }
 
+/// Decides for which shifts this VM is a canary; returns these, and whether that changed.
+fn choose_canaries(node: &GatewayNode, alive: &[VmName], vms: u32) -> (Vec<ShiftCanary>, bool) {
+    let share = node.gateway.bounds().exposure_share;
+    let mut control = node.control.lock();
+    let deployment = &mut control.deployment;
+    let mut changed = false;
+    let mut canaries = Vec::new();
+    for (service, order) in &deployment.orders {
+        let rank = rank(service, alive, node.gateway.vm()).filter(|rank| *rank < CANARY_VMS);
+        let controller = &mut deployment.shift_controller;
+        changed |= controller.set_canary(service, order, rank.is_some(), share, vms);
+        if let (Some(rank), Some(canary)) = (rank, controller.canary(service)) {
+            canaries.push(ShiftCanary {
+                service: service.clone(),
+                order: order.version,
+                rank,
+                evidence: canary,
+            });
+        }
+    }
+    (canaries, changed)
+}
+
 async fn write_record(node: Arc<GatewayNode>, service: ServiceName, record: ShiftRecord) {
     let held_era = record.version.era;
     match node.source.record_shift(&service, &record).await {
--- a/crates/mh_gateway/src/control/usage_loop.rs
+++ b/crates/mh_gateway/src/control/usage_loop.rs
@@ -1,18 +1,19 @@
 mod messages;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use mh_member::MemberState;
 use mh_platform::Result;
+use mh_sync::Mutex;
 use mh_types::{Event, StoreVersion, VmName, emit};
 use mh_usage::{CallOutcome, Claiming, Duty, DutyHolder, DutyRow, Fleet, Params, StoredUsage, Token, WindowRecord};
 use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, MissedTickBehavior};
 
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 use crate::request::machine_wall;
 use crate::{Feed, UsageReporter, WriteOutcome};
 
@@ -92,7 +93,7 @@
 pub(crate) async fn run_usage(node: Arc<GatewayNode>) {
     let Some(usage) = node.usage.get() else { return };
     // After a panic of the loop, the results of its calls are gone.
-    *lock(&usage.duty) = Duty::Waiting(DutyHolder::new(node.cfg.vm.clone(), usage.params));
+    *usage.duty.lock() = Duty::Waiting(DutyHolder::new(node.cfg.vm.clone(), usage.params));
     let (done, mut results): (_, UnboundedReceiver<Done>) = unbounded_channel();
     let now = Instant::now();
     let mut state = UsageLoop {
@@ -116,9 +117,8 @@
 
 /// Returns the VMs believed alive, and the number of listed VMs.
 fn living_vms(node: &GatewayNode) -> (Vec<VmName>, usize) {
-    let deployment = lock(&node.deployment);
-    let membership = lock(&node.membership);
-    let view = membership.view();
+    let control = node.control.lock();
+    let (deployment, view) = (&control.deployment, control.membership.view());
     let is_up = |vm: &VmName| matches!(view.state(vm), Some(MemberState::Alive | MemberState::Suspect));
     let own = &node.cfg.vm;
     let listed = deployment.vms().map(|vm| &vm.vm).filter(|vm| *vm != own);
@@ -166,10 +166,10 @@
             self.next_send_at = self.next_send_at.min(now + usage.params.window.max(SEND_INTERVAL));
             node.send_usage(now);
         }
-        let mut duty = lock(&usage.duty);
+        let may_claim = node.control.lock().deployment.has_read(Feed::Vms) && !node.gateway.is_leaving();
+        let mut duty = usage.duty.lock();
         match &mut *duty {
             Duty::Waiting(waiting) => {
-                let may_claim = lock(&node.deployment).has_read(Feed::Vms) && !node.gateway.is_leaving();
                 let should_claim = may_claim && waiting.should_claim(now, known.as_ref(), fleet);
                 if should_claim && !self.is_store_busy && now >= self.next_read_at {
                     self.read_store(now);
@@ -237,7 +237,8 @@
             .usage()
             .with(|_, clock| clock.wall(now))
             .unwrap_or_default();
-        let mut duty = lock(&usage.duty);
+        let known = node.known_usage_duty();
+        let mut duty = usage.duty.lock();
         let before = token_of(&duty);
         // The duty is put back below; nothing else can see the placeholder while the lock is held.
         let placeholder = Duty::Waiting(DutyHolder::new(node.cfg.vm.clone(), usage.params));
@@ -246,7 +247,7 @@
             Done::Called(token, window, outcome) => on_called(usage, current, now, (token, window, outcome)),
             Done::Read(read) => {
                 self.is_store_busy = false;
-                self.on_read(current, read, now, wall)
+                self.on_read(current, read, known.as_ref(), now, wall)
             }
             Done::Claimed(outcome) => {
                 self.is_store_busy = false;
@@ -281,7 +282,14 @@
         }
     }
 
-    fn on_read(&mut self, duty: Duty, read: Result<StoredUsage>, now: Instant, wall: Duration) -> Duty {
+    fn on_read(
+        &mut self,
+        duty: Duty,
+        read: Result<StoredUsage>,
+        known: Option<&DutyRow>,
+        now: Instant,
+        wall: Duration,
+    ) -> Duty {
         let stored = match read {
             Ok(stored) => stored,
             Err(e) => {
@@ -290,7 +298,7 @@
             }
         };
         match duty {
-            Duty::Waiting(waiting) => waiting.claim(wall, self.node.known_usage_duty().as_ref(), &stored),
+            Duty::Waiting(waiting) => waiting.claim(wall, known, &stored),
             Duty::Claiming(claiming) => match self.claimed.take() {
                 Some(version) => claiming.written(now, wall, version, &stored),
                 None => Duty::Claiming(claiming),
--- a/crates/mh_gateway/src/control/usage_loop/messages.rs
+++ b/crates/mh_gateway/src/control/usage_loop/messages.rs
@@ -10,7 +10,7 @@
 
 use super::{UsageView, token_of};
 use crate::control::Datagram;
-use crate::node::{GatewayNode, lock};
+use crate::node::GatewayNode;
 
 /// Time for the last messages of a VM that stops.
 const HANDOVER_TIME: Duration = Duration::from_millis(50);
@@ -18,7 +18,7 @@
 impl GatewayNode {
     /// Returns the holder of the duty as the feed names it.
     pub(super) fn known_usage_duty(&self) -> Option<DutyRow> {
-        lock(&self.deployment).usage_duty.clone()
+        self.control.lock().deployment.usage_duty.clone()
     }
 
     /// Sends this VM's counts to the holder.
@@ -26,28 +26,28 @@
         let (Some(usage), Some(known)) = (self.usage.get(), self.known_usage_duty()) else {
             return;
         };
-        let mut duty = lock(&usage.duty);
         // The feed may not name this VM yet.
-        let own = token_of(&duty);
+        let own = token_of(&usage.duty.lock());
         let token = own.unwrap_or(known.token);
         let messages = self.gateway.usage().with(|counter, clock| {
             let (wall, own_wall) = (clock.wall(now), clock.own(now));
             counter.messages(wall, own_wall, token)
         });
         let messages = messages.unwrap_or_default();
-        if let Duty::Holding(holding) = &mut *duty {
-            let vm = &self.cfg.vm;
-            let acks: Vec<_> = messages
-                .iter()
-                .filter_map(|msg| holding.on_counts(now, vm, msg))
-                .collect();
-            drop(duty);
+        if own.is_some() {
+            let acks: Vec<_> = match &mut *usage.duty.lock() {
+                Duty::Holding(holding) => {
+                    let acks = messages.iter().map(|msg| holding.on_counts(now, &self.cfg.vm, msg));
+                    acks.flatten().collect()
+                }
+                // The duty was lost meanwhile; unacknowledged counts are sent again.
+                Duty::Waiting(_) | Duty::Claiming(_) => Vec::new(),
+            };
             for ack in acks {
                 self.on_usage_ack(&ack, now);
             }
             return;
         }
-        drop(duty);
         let addr = self.peer_addr(&known.holder).filter(|_| known.holder != self.cfg.vm);
         let Some(addr) = addr else { return };
         for msg in messages {
@@ -60,7 +60,7 @@
         let Some(usage) = self.usage.get() else { return };
         match msg {
             Msg::Counts(counts) => {
-                let ack = match &mut *lock(&usage.duty) {
+                let ack = match &mut *usage.duty.lock() {
                     Duty::Holding(holding) => holding.on_counts(now, from, &counts),
                     Duty::Waiting(_) | Duty::Claiming(_) => None,
                 };
@@ -97,7 +97,7 @@
             .gateway
             .usage()
             .with(|counter, _| (counter.lost(), counter.windows()))?;
-        let duty = lock(&usage.duty);
+        let duty = usage.duty.lock();
         let (next_window, pending) = match &*duty {
             Duty::Holding(holding) => (Some(holding.next_window()), holding.reports().len()),
             Duty::Waiting(_) | Duty::Claiming(_) => (None, 0),
--- a/crates/mh_gateway/src/node.rs
+++ b/crates/mh_gateway/src/node.rs
@@ -13,5 +13,4 @@
 pub use gateway_node::GatewayNode;
 pub use shutdown::{StopOutcome, run_until_signal};
 
-pub(crate) use gateway_node::lock;
 pub(crate) use unlisted_vm::UnlistedVm;
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -1,17 +1,18 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use mh_admin::Metrics;
-use mh_budget::{Answer, Msg, Outgoing, Owner, VmIdentity};
+use mh_budget::{Answer, Msg, Outgoing, VmIdentity};
 use mh_edge::CallerPort;
 use mh_limit::Reply;
 use mh_lookup::zonal::ZonalVm;
-use mh_member::{Membership, Outbox, VmList};
+use mh_member::Outbox;
 use mh_route::objects::DemandDistribution;
+use mh_sync::Mutex;
 use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VmName, emit};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
@@ -24,7 +25,7 @@
 use super::supervise::supervise;
 use super::unlisted_vm::UnlistedVm;
 use crate::control::{
-    Capacities, Datagram, DeploymentState, LoadClocks, QuotaController, Relay, StaleVms, UsageDuty, encode,
+    Capacities, ControlState, Datagram, DeploymentState, LoadClocks, QuotaController, Relay, UsageDuty, encode,
     follow_feed, run_membership, run_usage,
 };
 use crate::request::Timings;
@@ -57,25 +58,18 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) interface: Arc<dyn Interface>,
     pub(crate) source: Arc<dyn Source>,
-    pub(crate) deployment: Mutex<DeploymentState>,
-    pub(crate) membership: Mutex<Membership>,
-    pub(crate) quotas: Mutex<QuotaController>,
+    pub(crate) control: Arc<Mutex<ControlState>>,
     pub(crate) relay: Relay,
     pub(crate) pending_token_requests: PendingReplies<Answer>,
     pub(crate) pending_limit_asks: PendingReplies<Reply>,
     socket: UdpSocket,
     metrics: OnceLock<Metrics>,
-    pub(crate) stale_vms: Mutex<StaleVms>,
     pub(crate) demand: Mutex<DemandDistribution>,
     pub(crate) capacities: Mutex<Capacities>,
     /// VMs that look-ups by failure domain return.
     pub(crate) lookup_vms: ArcSwap<Vec<ZonalVm>>,
-    membership_list: Mutex<VmList>,
-    /// VMs that are up and missing in this VM's list.
-    unlisted_vms: Mutex<Vec<UnlistedVm>>,
     shift_writes: Mutex<HashMap<(ServiceName, ShiftPhase), Instant>>,
     sharing_vms: AtomicU32,
-    next_timed_change: Mutex<Option<Instant>>,
     next_clean_up: Mutex<Option<Instant>>,
     epoch: watch::Sender<u64>,
     rebuilds: AtomicU64,
@@ -88,12 +82,6 @@
     pub(crate) load_clocks: Mutex<LoadClocks>,
 }
 
-/// Locks a mutex, also after another thread has panicked while it held the lock.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    // Guarded values are replaced in single steps, so that they stay consistent if another thread panics.
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl GatewayNode {
     /// Binds the ports and starts the control loops.
     ///
@@ -132,29 +120,30 @@
         };
         let gateway = Gateway::new(cfg.vm.clone(), headers, bounds).with_pipeline_bounds(cfg.pipelining);
         let buffer_bytes = cfg.memory_mb as usize * 1024 * 1024 / BUFFER_MEMORY_DIVISOR;
+        let deployment = DeploymentState::new(cfg.region.clone(), regions, bounds).with_placement(cfg.placement);
+        let membership = new_membership(&cfg, &bounds, incarnation);
+        let quotas = QuotaController::new(identity, Instant::now());
+        let control = Arc::new(Mutex::new(ControlState::new(deployment, membership, quotas)));
         let node = Arc::new(Self {
             gateway: Arc::new(gateway.with_buffer_limit(buffer_bytes)),
             interface,
             source,
-            deployment: Mutex::new(
-                DeploymentState::new(cfg.region.clone(), regions, bounds).with_placement(cfg.placement),
+            relay: Relay::new(
+                cfg.vm.clone(),
+                bounds.settings_in_force,
+                Arc::clone(&control),
+                Instant::now(),
             ),
-            membership: Mutex::new(new_membership(&cfg, &bounds, incarnation)),
-            quotas: Mutex::new(QuotaController::new(identity, Instant::now())),
-            relay: Relay::new(cfg.vm.clone(), bounds.settings_in_force, Instant::now()),
+            control,
             pending_token_requests: PendingReplies::default(),
             pending_limit_asks: PendingReplies::default(),
             socket: peers,
             metrics: OnceLock::new(),
-            stale_vms: Mutex::default(),
             demand: Mutex::new(demand),
             capacities: Mutex::new(Capacities::new(&cfg)),
             lookup_vms: ArcSwap::default(),
-            membership_list: Mutex::default(),
-            unlisted_vms: Mutex::default(),
             shift_writes: Mutex::default(),
             sharing_vms: AtomicU32::new(1),
-            next_timed_change: Mutex::default(),
             next_clean_up: Mutex::default(),
             epoch: watch::Sender::new(0),
             rebuilds: AtomicU64::new(0),
@@ -227,8 +216,8 @@
         emit!(Event::SettingsFileReloaded, vm = self.cfg.vm);
         self.gateway.set_bounds(bounds);
         self.relay.set_propagation_deadline(bounds.settings_in_force);
-        lock(&self.demand).set_regions(cfg.regions.clone());
-        lock(&self.deployment).reload(bounds, cfg.regions.clone());
+        self.demand.lock().set_regions(cfg.regions.clone());
+        self.control.lock().deployment.reload(bounds, cfg.regions.clone());
         self.rebuild(Instant::now());
     }
 
@@ -280,19 +269,22 @@
 
     /// Returns the peer address of a VM that is listed or known to be up.
     pub(crate) fn peer_addr(&self, vm: &VmName) -> Option<SocketAddr> {
-        let listed = lock(&self.deployment).vm(vm).map(|listed| listed.peers);
-        listed.or_else(|| {
-            let unlisted = lock(&self.unlisted_vms);
-            unlisted.iter().find(|known| known.vm == *vm).map(|known| known.addr)
-        })
+        self.control.lock().peer_addr(vm)
+    }
+
+    /// Returns the peer addresses of those VMs that are listed.
+    pub(crate) fn listed_addrs<'a>(&self, vms: impl IntoIterator<Item = &'a VmName>) -> Vec<SocketAddr> {
+        let control = self.control.lock();
+        let listed = vms.into_iter().filter_map(|vm| control.deployment.vm(vm));
+        listed.map(|vm| vm.peers).collect()
     }
 
     /// Sets the VMs that are up and missing in this VM's list; they share quotas.
     pub(crate) fn set_unlisted_vms(&self, vms: Vec<UnlistedVm>) {
         let changed = {
-            let mut held = lock(&self.unlisted_vms);
-            let changed = *held != vms;
-            *held = vms;
+            let mut control = self.control.lock();
+            let changed = control.unlisted_vms != vms;
+            control.unlisted_vms = vms;
             changed
         };
         if changed {
@@ -318,25 +310,15 @@
 
     /// Rebuilds and publishes the state that requests are served from.
     pub(crate) fn rebuild(&self, now: Instant) {
-        let mut deployment = lock(&self.deployment);
-        deployment.expire(now);
-        let previous = self.gateway.live();
-        let mut live = deployment.build_live_state(&previous, self.sharing_vms(), now);
-        if let (Some(plan), Some(read_at)) = (deployment.plan(), deployment.vms_read_at()) {
-            let mut vms: Vec<Owner> = deployment.vms().map(Owner::from).collect();
-            let unlisted = lock(&self.unlisted_vms);
-            let missing = unlisted.iter().filter(|unlisted| deployment.vm(&unlisted.vm).is_none());
-            vms.extend(missing.map(Owner::from));
-            drop(unlisted);
-            let mut quotas = lock(&self.quotas);
-            quotas.sync(plan, &vms, read_at, now);
-            live.quotas = quotas.limiters();
-        }
-        *lock(&self.next_timed_change) = deployment.next_change(now);
-        drop(deployment);
-        let was_ready = previous.ready;
-        let is_ready = live.ready;
-        self.gateway.publish(live);
+        let (was_ready, is_ready) = {
+            let mut control = self.control.lock();
+            let previous = self.gateway.live();
+            let live = control.build_live_state(&previous, self.sharing_vms(), now);
+            let is_ready = live.ready;
+            // Published under the lock, so that no thread replaces it by a state built from older feeds.
+            self.gateway.publish(live);
+            (previous.ready, is_ready)
+        };
         self.rebuilds.fetch_add(1, Ordering::Relaxed);
         if is_ready && !was_ready {
             emit!(Event::CurrentAgain, vm = self.cfg.vm);
@@ -355,12 +337,12 @@
 
     /// Returns whether a time-triggered change of the state is due.
     pub(crate) fn is_change_due(&self, now: Instant) -> bool {
-        lock(&self.next_timed_change).is_some_and(|at| at <= now)
+        self.control.lock().next_timed_change.is_some_and(|at| at <= now)
     }
 
     /// Returns whether stored quarantines should be checked now; at most once in [`CLEAN_UP_INTERVAL`].
     pub(crate) fn is_clean_up_due(&self, now: Instant) -> bool {
-        let mut next = lock(&self.next_clean_up);
+        let mut next = self.next_clean_up.lock();
         let is_due = next.is_some_and(|at| at <= now);
         if is_due || next.is_none() {
             *next = Some(now + CLEAN_UP_INTERVAL);
@@ -378,44 +360,39 @@
         let sees_quorum = alive as f64 > listed as f64 * QUORUM_FRACTION;
         let sharing = if sees_quorum { alive } else { listed };
         let before = self.sharing_vms.swap(sharing as u32, Ordering::Relaxed);
-        let live = self.gateway.live();
-        if live.vms != callers {
-            let next = LiveState {
-                vms: callers,
-                ..LiveState::clone(&live)
-            };
+        let usable = callers.len();
+        if self.publish_vms(callers) {
             emit!(
                 Event::VmStateChanged,
-                usable = next.vms.len(),
+                usable = usable,
                 listed = listed,
                 sharing = sharing
             );
-            self.gateway.publish(next);
         }
         if before != sharing as u32 {
             self.rebuild(Instant::now());
         }
     }
 
-    /// Stores the membership list and returns whether it differs from the previous one.
-    pub(crate) fn replace_list(&self, list: &VmList) -> bool {
-        let mut held = lock(&self.membership_list);
-        let changed = *held != *list;
+    /// Publishes the VMs that look-ups return; returns whether they changed.
+    fn publish_vms(&self, callers: Vec<(RegionName, SocketAddr)>) -> bool {
+        // The lock keeps other threads from publishing between the read and the replacement.
+        let _control = self.control.lock();
+        let live = self.gateway.live();
+        let changed = live.vms != callers;
         if changed {
-            held.clone_from(list);
+            self.gateway.publish(LiveState {
+                vms: callers,
+                ..LiveState::clone(&live)
+            });
         }
         changed
     }
 
-    /// Returns whether `vm` is this VM and is shutting down.
-    pub(crate) fn is_this_vm_leaving(&self, vm: &VmName) -> bool {
-        *vm == self.cfg.vm && self.gateway.is_leaving()
-    }
-
     /// Returns whether a phase of a shift may be written now. A phase is written again only after
     /// [`SHIFT_WRITE_INTERVAL`].
     pub(crate) fn claim_shift_write(&self, service: &ServiceName, phase: ShiftPhase, now: Instant) -> bool {
-        let mut writes = lock(&self.shift_writes);
+        let mut writes = self.shift_writes.lock();
         let step = (service.clone(), phase);
         let is_due = writes.get(&step).is_none_or(|at| now >= *at + SHIFT_WRITE_INTERVAL);
         if is_due {
@@ -428,7 +405,7 @@
     pub(crate) fn apply_own_record(&self, service: &ServiceName, record: ShiftRecord) {
         let now = Instant::now();
         {
-            let mut deployment = lock(&self.deployment);
+            let deployment = &mut self.control.lock().deployment;
             let Some(clock) = deployment.store_clock(now) else {
                 return;
             };
--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -6,7 +6,7 @@
 use mh_edge::PipelineLoad;
 use mh_route::objects::assignment::MoveTotals;
 
-use super::{GatewayNode, lock};
+use super::GatewayNode;
 use crate::Feed;
 use crate::control::UsageView;
 use crate::logging::lines_dropped;
@@ -211,7 +211,7 @@
         gauge(
             "spare_capacity_permille",
             "Unused part of the scarcest resource of this VM, as look-ups by failure domain count it",
-            |node| (lock(&node.capacities).spare() * 1000.0) as u64,
+            |node| (node.capacities.lock().spare() * 1000.0) as u64,
         ),
         Metric {
             is_counter: true,
@@ -224,7 +224,7 @@
         gauge(
             "placement_leader",
             "Whether this VM computes the fractions for its failure domain",
-            |node| u64::from(lock(&node.demand).is_leader()),
+            |node| u64::from(node.demand.lock().is_leader()),
         ),
         gauge(
             "demand_slots_milli",
--- a/crates/mh_gateway/src/node/node_peers.rs
+++ b/crates/mh_gateway/src/node/node_peers.rs
@@ -9,7 +9,7 @@
 use mh_types::{Event, OrgName, VmName, emit};
 use tokio::time::Instant;
 
-use super::{GatewayNode, lock};
+use super::GatewayNode;
 use crate::control::Datagram;
 use crate::{LimitPeers, QuotaPeers, StoredQuarantine, Update};
 
@@ -78,7 +78,12 @@
             while Instant::now() < end {
                 let remaining_ms = (end - Instant::now()).as_millis() as u64;
                 let entry = QuarantineEntry { remaining_ms, ..entry };
-                let clock = lock(&self.deployment).store_clock(Instant::now()).unwrap_or_default();
+                let clock = self
+                    .control
+                    .lock()
+                    .deployment
+                    .store_clock(Instant::now())
+                    .unwrap_or_default();
                 let stored = StoredQuarantine::new(&entry, clock);
                 let Err(e) = self.source.record_quarantine(&stored).await else {
                     break;
@@ -109,9 +114,10 @@
 
     /// Removes stored quarantines that are over or were cleared. One VM does so for all.
     pub(crate) fn remove_stored_quarantines(self: &Arc<Self>) {
+        let stored = self.control.lock().deployment.quarantined();
         let over = self.gateway.poison().with(|guard, _| {
-            let is_over = |stored: &StoredQuarantine| !guard.is_known(&stored.fingerprint);
-            lock(&self.deployment).quarantines_over(is_over)
+            let over = stored.into_iter().filter(|fingerprint| !guard.is_known(fingerprint));
+            over.collect::<Vec<_>>()
         });
         for fingerprint in over {
             let node = Arc::clone(self);
--- a/crates/mh_gateway/src/node/pending_replies.rs
+++ b/crates/mh_gateway/src/node/pending_replies.rs
@@ -1,12 +1,10 @@
 use std::collections::HashMap;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use mh_sync::Mutex;
 use tokio::sync::oneshot;
 
-use super::lock;
-
 /// Questions to other VMs that wait for their replies, by number.
 #[derive(Debug)]
 pub(crate) struct PendingReplies<T> {
@@ -28,7 +26,7 @@
     pub(crate) async fn exchange(&self, send: impl FnOnce(u64), timeout: Duration) -> Option<T> {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
-        lock(&self.waiting).insert(number, tx);
+        self.waiting.lock().insert(number, tx);
         let _cleanup = Forget { replies: self, number };
         send(number);
         tokio::time::timeout(timeout, rx).await.ok()?.ok()
@@ -36,7 +34,7 @@
 
     /// Passes a reply to the request that waits for it.
     pub(crate) fn complete(&self, number: u64, reply: T) {
-        if let Some(tx) = lock(&self.waiting).remove(&number) {
+        if let Some(tx) = self.waiting.lock().remove(&number) {
             // The request may have ended already.
             let _ = tx.send(reply);
         }
@@ -51,6 +49,6 @@
 
 impl<T> Drop for Forget<'_, T> {
     fn drop(&mut self) {
-        lock(&self.replies.waiting).remove(&self.number);
+        self.replies.waiting.lock().remove(&self.number);
     }
 }
--- a/crates/mh_gateway/src/node/shutdown.rs
+++ b/crates/mh_gateway/src/node/shutdown.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::Instant;
 
-use super::{GatewayNode, lock};
+use super::GatewayNode;
 use crate::control::withdraw;
 
 /// Fraction of the grace period in which new requests are still accepted, for callers that hold an old look-up answer.
@@ -80,7 +80,7 @@
     let grace = node.gateway.bounds().shutdown_grace;
     let end = started + grace.mul_f64(END_FRACTION);
     node.gateway.leave(end);
-    let out = lock(&node.membership).leave(started);
+    let out = node.control.lock().membership.leave(started);
     node.send_membership(out);
     let withdrawing = Arc::clone(node);
     tokio::spawn(async move { withdraw(&withdrawing).await });
--- a/crates/mh_gateway/src/node/state_dump.rs
+++ b/crates/mh_gateway/src/node/state_dump.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use super::{GatewayNode, lock};
+use super::GatewayNode;
 use crate::Feed;
 
 /// Returns this VM's view of the deployment and its age, for diagnosing failures.
@@ -56,12 +56,12 @@
             "unknown_keys": plan.unreadable.orgs, "keys": plan.unreadable.keys.len()})
     });
     let placement = {
-        let demand = lock(&node.demand);
+        let demand = node.demand.lock();
         let totals: BTreeMap<_, _> = demand.totals().collect();
         json!({"leader": demand.leader(), "fractions": demand.fractions(), "demand": totals})
     };
     let lookups = {
-        let capacities = lock(&node.capacities);
+        let capacities = node.capacities.lock();
         let vms = node.lookup_vms.load();
         let vms = vms
             .iter()
@@ -70,6 +70,7 @@
     };
     let admissions = live.admissions.iter();
     let admissions = admissions.map(|(service, admission)| json!({"service": service, "state": admission.view(now)}));
+    let listed_vms = node.control.lock().deployment.vms().count();
     json!({
         "vm": node.cfg.vm,
         "domain": node.cfg.domain,
@@ -81,7 +82,7 @@
         "reads": node.relay.is_reader(),
         "cut_off": node.gateway.paths().is_cut_off(),
         "usable_vms": live.vms.len(),
-        "listed_vms": lock(&node.deployment).vms().count(),
+        "listed_vms": listed_vms,
         "sharing_vms": node.sharing_vms(),
         "held_bytes": node.gateway.held_bytes(),
         "pipelining": node.gateway.pipeline_load().view(),
--- a/crates/mh_gateway/src/request/limit_gate.rs
+++ b/crates/mh_gateway/src/request/limit_gate.rs
@@ -1,14 +1,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use mh_limit::{Admission, Ask, LimitChange, Limits, Outbox, Stated, Target};
 use mh_route::objects::Placement;
+use mh_sync::Mutex;
 use mh_types::{Event, ServerName, VmName, emit};
 use tokio::time::Instant;
 
 use crate::LimitPeers;
-use crate::node::lock;
 
 /// Longest time between a question and the use of its answer. After it, the owner of the limit counts on other requests.
 const ADMISSION_LIFETIME: Duration = Duration::from_millis(500);
@@ -35,7 +35,7 @@
 
     /// Runs `f` with the decision state.
     pub fn with<T>(&self, f: impl FnOnce(&mut Limits) -> T) -> T {
-        let mut limits = lock(&self.limits);
+        let mut limits = self.limits.lock();
         let out = f(&mut limits);
         self.has_limits.store(!limits.is_empty(), Ordering::Relaxed);
         out
--- a/crates/mh_gateway/src/request/server_paths.rs
+++ b/crates/mh_gateway/src/request/server_paths.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -8,6 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use mh_edge::{BoxFuture, ConnectionPath, Dial, Dialed, connect_to_server};
 use mh_path::{CheckResult, Reachability, TunnelVm, TunnelVms};
+use mh_sync::Mutex;
 use mh_types::{Code, Event, RegionName, ServerName, emit};
 use rand::seq::IteratorRandom;
 use tokio::sync::watch;
@@ -16,7 +17,6 @@
 use super::counters::{Counters, increment};
 use super::tunnel_client::{TunnelError, open_tunnel};
 use crate::LiveState;
-use crate::node::lock;
 
 /// Time after which a connect that is still running starts a check of this VM's links: several round trips between
 /// regions.
@@ -65,7 +65,7 @@
     /// is gone: one that shuts down waits for its tunnels.
     pub(crate) fn set_tunnel_vms(self: &Arc<Self>, own_region: &RegionName, vms: Vec<TunnelVm>) {
         let is_one_gone = {
-            let mut held = lock(&self.tunnel_vms);
+            let mut held = self.tunnel_vms.lock();
             held.0 = own_region.clone();
             held.1.set_vms(vms)
         };
@@ -111,7 +111,7 @@
 
     /// Starts a check of this VM's links unless one has just been made.
     pub(crate) fn start_check(self: &Arc<Self>) {
-        if lock(&self.reachability).start_check(Instant::now()) {
+        if self.reachability.lock().start_check(Instant::now()) {
             tokio::spawn(Arc::clone(self).check());
         }
     }
@@ -131,7 +131,7 @@
             result.failed += 1;
         }
         // Whoever waits for the check must not see its end before its result.
-        let mut reachability = lock(&self.reachability);
+        let mut reachability = self.reachability.lock();
         let is_changed = reachability.on_check(Instant::now(), result);
         let is_cut_off = reachability.is_cut_off();
         if is_changed {
@@ -148,7 +148,7 @@
     pub(crate) async fn check_ended(&self) -> bool {
         let mut state = self.state.subscribe();
         let checks_before = state.borrow_and_update().1;
-        if lock(&self.reachability).is_checking() {
+        if self.reachability.lock().is_checking() {
             // The sender lives as long as this value, so the wait does not fail.
             let _ = state.wait_for(|(_, checks)| *checks != checks_before).await;
         }
@@ -198,7 +198,7 @@
 
     async fn dial_tunnel(&self, server: &ServerName, addr: SocketAddr, regions: &[RegionName]) -> Result<Dialed, Code> {
         let chosen = {
-            let tunnel_vms = lock(&self.tunnel_vms);
+            let tunnel_vms = self.tunnel_vms.lock();
             tunnel_vms
                 .1
                 .choose(Instant::now(), &tunnel_vms.0, regions, rand::random())
@@ -227,7 +227,7 @@
                 server = server,
                 error = format_args!("{error:?}")
             );
-            lock(&self.tunnel_vms).1.on_refused(&vm, Instant::now());
+            self.tunnel_vms.lock().1.on_refused(&vm, Instant::now());
         }
         Err(Code::NoPath)
     }
@@ -250,7 +250,7 @@
             ConnectionPath::Direct => !self.paths.is_cut_off(),
             ConnectionPath::Tunnel { vm, region } => {
                 let is_allowed = self.regions.is_empty() || self.regions.contains(region);
-                is_allowed && self.paths.is_cut_off() && lock(&self.paths.tunnel_vms).1.contains(vm)
+                is_allowed && self.paths.is_cut_off() && self.paths.tunnel_vms.lock().1.contains(vm)
             }
         }
     }
--- a/crates/mh_gateway/src/request/usage_gate.rs
+++ b/crates/mh_gateway/src/request/usage_gate.rs
@@ -1,5 +1,6 @@
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, OnceLock};
 
+use mh_sync::Mutex;
 use mh_types::{Incarnation, OrgName};
 use mh_usage::{Begun, Params, UsageCounter, WallClock};
 use tokio::time::Instant;
@@ -25,7 +26,7 @@
     /// Runs `f` with the counter and the clock; `None` if no reports are made.
     pub fn with<T>(&self, f: impl FnOnce(&mut UsageCounter, &mut WallClock) -> T) -> Option<T> {
         let state = self.0.get()?;
-        let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = state.lock();
         let (counter, clock) = &mut *state;
         Some(f(counter, clock))
     }
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -23,6 +23,10 @@
 /// Number of mutated messages; `FUZZ_CASES` overrides it.
 const DEFAULT_CASES: usize = 3000;
 
+/// Checks whether a node is ready; a loop that panics is started again, so that it would be waited for forever.
+const READY_POLLS: u32 = 2000;
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 #[derive(Debug)]
 struct PlainInterface;
 
@@ -207,10 +211,13 @@
             Ok((node, server)) => {
                 // Keeps the port open until the test's runtime ends.
                 std::mem::forget(server);
-                while !node.gateway.live().ready {
-                    tokio::time::sleep(Duration::from_millis(5)).await;
+                for _ in 0..READY_POLLS {
+                    if node.gateway.live().ready {
+                        return node;
+                    }
+                    tokio::time::sleep(READY_POLL_INTERVAL).await;
                 }
-                return node;
+                panic!("the node read no feeds");
             }
             // Another process took the port after it was found free.
             Err((Code::BindFailed, _)) => {}
@@ -434,3 +441,6 @@
     assert!(decoded > 100, "{decoded}");
     assert!(node.gateway.live().plan.is_some());
 }
+
+#[path = "locks.rs"]
+mod locks;
--- a/crates/mh_gateway/tests/unit/shift_controller.rs
+++ b/crates/mh_gateway/tests/unit/shift_controller.rs
@@ -5,7 +5,7 @@
 use mh_shift::Verdict;
 use mh_types::StoreVersion;
 
-use super::{ShiftController, next_phase};
+use super::{next_phase, next_record};
 use crate::{ShiftOrder, ShiftPhase, ShiftRecord};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -97,11 +97,11 @@
         ..order()
     };
 
-    let due = ShiftController::default().next_record(
-        &"s".into(),
+    let due = next_record(
         &newer,
         Some(&record(ShiftPhase::Done)),
         0,
+        Verdict::Undecided,
         StoreVersion::ZERO,
         SECOND * 200,
     );
--- a/crates/mh_node/src/admin.rs
+++ b/crates/mh_node/src/admin.rs
@@ -8,7 +8,6 @@
 use tokio::time::Instant;
 
 use crate::Node;
-use crate::node::lock;
 
 /// Admin API of a [`Node`].
 #[derive(Debug)]
@@ -90,7 +89,7 @@
 
 impl AdminApi for NodeAdminApi {
     fn list(&self, prefix: &str) -> Value {
-        let local_settings = lock(&self.node.local_settings);
+        let local_settings = self.node.local_settings.lock();
         let entries = local_settings
             .settings()
             .list(prefix)
@@ -100,7 +99,7 @@
 
     fn get(&self, path: &str) -> Result<Option<Value>, AdminError> {
         let path = DocPath::parse(path)?;
-        let local_settings = lock(&self.node.local_settings);
+        let local_settings = self.node.local_settings.lock();
         Ok(local_settings.settings().get(&path).map(|entry| {
             json!({
                 "path": path.as_str(),
@@ -117,7 +116,7 @@
 
     fn history<'a>(&'a self, path: &'a str, limit: u32) -> BoxFuture<'a, Result<Value, AdminError>> {
         Box::pin(async move {
-            let head = lock(&self.node.local_settings).revision();
+            let head = self.node.local_settings.lock().revision();
             let rows = self.node.store.history(path, head, limit).await;
             let rows = rows.map_err(|e| AdminError::new(e.current_context().0, e.to_string()))?;
             serde_json::to_value(rows).map_err(|e| AdminError::new(Code::Internal, e.to_string()))
@@ -127,21 +126,24 @@
     fn status(&self) -> Value {
         let node = &self.node;
         let now = Instant::now();
-        let revision = lock(&node.local_settings).revision();
-        let peers = lock(&node.peers);
-        let others = peers.others(&node.cfg.vm).map(|vm| {
-            let heartbeat = peers.heartbeats.get(&vm.name);
-            json!({
-                "vm": vm.name,
-                "domain": vm.domain,
-                "region": vm.region,
-                "listed": vm.state,
-                "revision": heartbeat.map(|h| h.revision),
-                "incarnation": heartbeat.map(|h| h.incarnation),
-                "leaving": heartbeat.map(|h| h.leaving),
-                "heard_ms_ago": heartbeat.map(|h| (now - h.at).as_millis() as u64),
-            })
-        });
+        let revision = node.local_settings.lock().revision();
+        let others: Vec<Value> = {
+            let peers = node.peers.lock();
+            let others = peers.others(&node.cfg.vm).map(|vm| {
+                let heartbeat = peers.heartbeats.get(&vm.name);
+                json!({
+                    "vm": vm.name,
+                    "domain": vm.domain,
+                    "region": vm.region,
+                    "listed": vm.state,
+                    "revision": heartbeat.map(|h| h.revision),
+                    "incarnation": heartbeat.map(|h| h.incarnation),
+                    "leaving": heartbeat.map(|h| h.leaving),
+                    "heard_ms_ago": heartbeat.map(|h| (now - h.at).as_millis() as u64),
+                })
+            });
+            others.collect()
+        };
         json!({
             "vm": node.cfg.vm,
             "domain": node.cfg.domain,
@@ -151,7 +153,7 @@
             "leaving": node.is_leaving(),
             "currency": node.freshness_text(),
             "shifts": node.shifts.view(),
-            "peers": others.collect::<Vec<_>>(),
+            "peers": others,
         })
     }
 
--- a/crates/mh_node/src/allowances.rs
+++ b/crates/mh_node/src/allowances.rs
@@ -2,11 +2,12 @@
 mod slot_row;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use arcstr::ArcStr;
 use mh_budget::{Answer, Budget, BudgetHolder, BudgetName, LendingSettings, Limiter, Msg, Outgoing, Slots, VmIdentity};
 use mh_config::{CompiledOrg, Snapshot};
+use mh_sync::Mutex;
 use mh_types::{DomainName, Incarnation, OrgName, VmName};
 use siphasher::sip::SipHasher13;
 use std::hash::{Hash, Hasher};
@@ -14,7 +15,6 @@
 use tokio::time::Instant;
 
 use crate::VmSettings;
-use crate::node::lock;
 
 /// Minimum time between two ticks of the budget holders.
 pub(crate) const HOLDER_TICK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
@@ -67,7 +67,7 @@
     /// Updates the shares to the organisations of a settings revision, and returns the limiters for requests.
     pub(crate) fn sync(&self, snapshot: &Snapshot) -> HashMap<OrgName, Limiter> {
         let now = Instant::now();
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         state.domains = snapshot.regions.keys().cloned().collect();
         state.domains.sort_unstable();
         state.allowances.retain(|name, _| snapshot.orgs.contains_key(name));
@@ -116,7 +116,8 @@
     /// Runs the holders' due timers and returns the messages to send.
     pub(crate) fn tick(&self) -> Vec<Outgoing> {
         let now = Instant::now();
-        lock(&self.state)
+        self.state
+            .lock()
             .allowances
             .values_mut()
             .flat_map(|allowance| allowance.holder.on_tick(now))
@@ -126,7 +127,7 @@
     /// Handles messages from a peer and returns the messages to send.
     pub(crate) fn on_msgs(&self, from: &VmName, msgs: &[Msg]) -> Vec<Outgoing> {
         let now = Instant::now();
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         let mut out = Vec::new();
         for msg in msgs {
             if let Some(allowance) = state.allowances.get_mut(msg.budget.as_str()) {
@@ -138,13 +139,13 @@
 
     /// Decides whether to admit a request on behalf of another VM; `None` for an unknown organisation.
     pub(crate) fn decide_for_peer(&self, org: &OrgName, tokens: u32) -> Option<Answer> {
-        let limiter = lock(&self.state).allowances.get(org)?.holder.limiter().clone();
+        let limiter = self.state.lock().allowances.get(org)?.holder.limiter().clone();
         Some(limiter.decide_for_peer(Instant::now, tokens))
     }
 
     /// Returns the shares of each organisation as numbers of burst tokens, for the state dump.
     pub(crate) fn view(&self) -> serde_json::Value {
-        let state = lock(&self.state);
+        let state = self.state.lock();
         let burst_tokens = |share: mh_budget::Share| share.0 as f64 / mh_budget::MICROTOKENS_PER_TOKEN as f64;
         let allowances = state.allowances.iter().map(|(name, allowance)| {
             let holder = &allowance.holder;
--- a/crates/mh_node/src/allowances/slot_ownership.rs
+++ b/crates/mh_node/src/allowances/slot_ownership.rs
@@ -12,7 +12,6 @@
 use super::{Allowances, OrgAllowance, State, stable_hash};
 use crate::Node;
 use crate::absence_tracker::AbsenceTracker;
-use crate::node::lock;
 
 /// Mean time between two reads of the slot rows.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
@@ -65,7 +64,7 @@
 
     /// Adopts the slots that the rows assign to this VM, and returns the rows to write.
     fn reconcile(&self, inputs: &OwnershipInputs) -> Vec<Write> {
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         let names: Vec<OrgName> = state.allowances.keys().cloned().collect();
         names
             .iter()
@@ -265,7 +264,7 @@
     /// Handles a read of the platform's VM list, which contains this VM if `is_listed` is `true`.
     pub(crate) fn on_vm_list(&self, is_listed: bool) -> Vec<mh_budget::Outgoing> {
         let now = Instant::now();
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         let mut out = Vec::new();
         for allowance in state.allowances.values_mut() {
             out.extend(allowance.holder.on_listed(now, is_listed));
@@ -293,7 +292,7 @@
     }
 
     fn listed_vms(&self) -> Vec<(ListedVm, Option<Incarnation>)> {
-        let peers = lock(&self.peers);
+        let peers = self.peers.lock();
         let incarnation_of = |name: &VmName| peers.heartbeats.get(name).map(|heartbeat| heartbeat.incarnation);
         peers
             .listing
@@ -305,6 +304,6 @@
 
     /// Returns the maximum lag of the platform's VM list.
     pub(crate) fn list_lag(&self) -> Duration {
-        Duration::from_millis(lock(&self.peers).listing.lag_ms)
+        Duration::from_millis(self.peers.lock().listing.lag_ms)
     }
 }
--- a/crates/mh_node/src/catch_up.rs
+++ b/crates/mh_node/src/catch_up.rs
@@ -7,7 +7,6 @@
 
 use crate::Node;
 use crate::local_settings::LocalSettings;
-use crate::node::lock;
 use crate::settings_store::{HEAD_PATH, Head, SettingsUpdate, doc_path, head_value, log_path};
 
 impl Node {
@@ -16,7 +15,7 @@
         let requested_at = Instant::now();
         let mut head = self.store.head().await?;
         loop {
-            let local_revision = lock(&self.local_settings).revision();
+            let local_revision = self.local_settings.lock().revision();
             if local_revision > head.revision && self.write_back(head).await? {
                 head = self.store.head().await?;
                 continue;
@@ -41,7 +40,7 @@
     /// condition on the head row fails if another VM has written them, or if the read of the head row was outdated.
     async fn write_back(&self, head: Head) -> mh_platform::Result<bool> {
         let (revision, rows) = {
-            let local_settings = lock(&self.local_settings);
+            let local_settings = self.local_settings.lock();
             (local_settings.revision(), local_settings.changes_since(head.revision))
         };
         let changes = rows.unwrap_or_default();
@@ -94,7 +93,7 @@
 
     /// Applies settings that a peer sent; returns `false` if they did not advance the revision.
     pub(crate) fn apply_peer_changes(&self, changes: &mh_peer::Changes) -> bool {
-        let local_revision = lock(&self.local_settings).revision();
+        let local_revision = self.local_settings.lock().revision();
         if changes.revision <= local_revision {
             return false;
         }
@@ -118,7 +117,7 @@
         change: impl FnOnce(&mut LocalSettings) -> Result<(), Problems>,
     ) -> bool {
         let (applied, advanced) = {
-            let mut local_settings = lock(&self.local_settings);
+            let mut local_settings = self.local_settings.lock();
             let applied = change(&mut local_settings);
             (applied, local_settings.revision() > local_revision)
         };
--- a/crates/mh_node/src/claims.rs
+++ b/crates/mh_node/src/claims.rs
@@ -1,16 +1,15 @@
 use std::collections::HashMap;
 use std::fmt;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use mh_once::{Batch, BatchOutcome, CallerChosenId, ClaimBatcher, ClaimRow, ClaimStep, Owner, PushOutcome, RowKey};
 use mh_platform::{Commit, CommitOutcome, Expect, Table, Write};
+use mh_sync::Mutex;
 use mh_types::{Code, Run};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
-use crate::node::lock;
-
 /// Path prefix of the claim rows.
 const CLAIM_ROW_PREFIX: &str = "/mangohook/claims/";
 /// Delay before the first read-back of a write with an unknown outcome.
@@ -69,13 +68,13 @@
 
     /// Returns the number of claims that wait for the table.
     pub(crate) fn pending(&self) -> usize {
-        lock(&self.state).batcher.pending()
+        self.state.lock().batcher.pending()
     }
 
     /// Claims an operation id and waits for the result.
     pub(crate) async fn claim(&self, id: &CallerChosenId) -> ClaimStep {
         let receiver = {
-            let mut state = lock(&self.state);
+            let mut state = self.state.lock();
             let key = match state.batcher.push(Instant::now(), id) {
                 PushOutcome::Pending(key) => key,
                 PushOutcome::Refuse(code, run) => return ClaimStep::Refuse(code, run),
@@ -94,7 +93,7 @@
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
             let (batch, next) = {
-                let mut state = lock(&self.state);
+                let mut state = self.state.lock();
                 let poll = state.batcher.poll(Instant::now());
                 state.notify_waiters(poll.settled);
                 (poll.batch, state.batcher.next_poll())
@@ -133,7 +132,7 @@
     }
 
     fn on_outcome(&self, batch: &Batch, outcome: BatchOutcome) -> bool {
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         let progress = state.batcher.on_outcome(&batch.write_id, outcome);
         state.notify_waiters(progress.settled);
         progress.read_back
--- a/crates/mh_node/src/crash_reports.rs
+++ b/crates/mh_node/src/crash_reports.rs
@@ -9,7 +9,6 @@
 use tokio::time::Instant;
 
 use crate::Node;
-use crate::node::lock;
 
 /// Kind of the message part that contains reports of crashes and quarantines.
 const CRASH_REPORT_PART: u16 = 9;
@@ -40,7 +39,7 @@
         for (vm, msg) in out {
             let node = Arc::clone(self);
             tokio::spawn(async move {
-                let addr = lock(&node.peers).addr_of(&vm);
+                let addr = node.peers.lock().addr_of(&vm);
                 let (Some(addr), Some(net)) = (addr, node.net.get()) else {
                     return;
                 };
@@ -65,7 +64,9 @@
 
     /// Tells other VMs of current quarantines, and forgets what has expired.
     pub(crate) fn tick_crash_reports(self: &Arc<Self>) {
-        let others = lock(&self.peers)
+        let others = self
+            .peers
+            .lock()
             .others(&self.cfg.vm)
             .map(|vm| vm.name.clone())
             .collect::<Vec<_>>();
--- a/crates/mh_node/src/deferred_loop.rs
+++ b/crates/mh_node/src/deferred_loop.rs
@@ -8,7 +8,6 @@
 use tokio::time::Instant;
 
 use crate::Node;
-use crate::node::lock;
 
 /// Key prefix of stored requests.
 const OBJECT_KEY_PREFIX: &str = "deferred/";
@@ -73,7 +72,7 @@
 
     /// Returns whether this VM, among the usable VMs, delivers the request, so that they do not all attempt it.
     fn is_deliverer_of(&self, key: &str) -> bool {
-        let peers = lock(&self.peers);
+        let peers = self.peers.lock();
         let usable = peers.usable(&self.cfg.vm, (&self.cfg.domain, &self.cfg.region), Instant::now());
         let weight = |vm: &str| {
             let mut hasher = SipHasher13::new();
--- a/crates/mh_node/src/edge_links.rs
+++ b/crates/mh_node/src/edge_links.rs
@@ -8,7 +8,6 @@
 use mh_types::{Code, OrgName, VmName};
 
 use crate::Node;
-use crate::node::lock;
 
 /// Connects the edge to the platform's services and to the other VMs.
 pub(crate) struct NodeEdgeLinks(pub(crate) Arc<Node>);
@@ -42,7 +41,7 @@
                 code: Code::PeerUnreachable,
                 sent: false,
             };
-            let addr = lock(&self.0.peers).addr_of(vm).ok_or(not_sent)?;
+            let addr = self.0.peers.lock().addr_of(vm).ok_or(not_sent)?;
             self.0.net.get().ok_or(not_sent)?.operate(addr, operation).await
         })
     }
--- a/crates/mh_node/src/freshness.rs
+++ b/crates/mh_node/src/freshness.rs
@@ -5,7 +5,6 @@
 use mh_types::{DomainName, Incarnation, Revision, VmName};
 use tokio::time::Instant;
 
-use crate::node::lock;
 use crate::{Node, VmSettings};
 
 /// Settings path of the roster.
@@ -29,11 +28,27 @@
     }
 }
 
+/// What the freshness of this VM depends on in the settings that requests read.
+#[derive(Debug)]
+pub(crate) struct AppliedSettings {
+    pub(crate) revision: Revision,
+    roster: Option<Roster>,
+}
+
+impl AppliedSettings {
+    pub(crate) fn of(settings: &Settings) -> Self {
+        Self {
+            revision: settings.revision(),
+            roster: roster_entry(settings).map(roster_from_entry),
+        }
+    }
+}
+
 impl Node {
     /// Changes the freshness state and publishes to the request path the time until which this VM's settings are
     /// current.
     pub(crate) fn with_freshness<T>(&self, change: impl FnOnce(&mut FreshnessState) -> T) -> T {
-        let mut state = lock(&self.freshness);
+        let mut state = self.freshness.lock();
         let out = change(&mut state);
         self.edge
             .freshness_gate()
@@ -41,16 +56,15 @@
         out
     }
 
-    /// Records the revision and roster that this VM now holds; called while the settings are locked.
-    pub(crate) fn record_applied_settings(&self, settings: &Settings) {
-        let revision = settings.revision();
-        let roster = roster_entry(settings).map(roster_from_entry);
+    /// Records the revision and roster that this VM now holds.
+    pub(crate) fn record_applied_settings(&self, applied: AppliedSettings) {
+        let AppliedSettings { revision, roster } = applied;
         self.with_freshness(|state| state.tracker.on_apply(Instant::now(), revision, roster));
     }
 
     /// Describes the freshness for the status report and the state dump.
     pub(crate) fn freshness_text(&self) -> String {
-        match lock(&self.freshness).tracker.status(Instant::now()) {
+        match self.freshness.lock().tracker.status(Instant::now()) {
             FreshnessStatus::Current { age } => format!("current, confirmed {} ms ago", age.as_millis()),
             FreshnessStatus::Behind { known, held } => format!("behind: holds {held}, knows of {known}"),
             FreshnessStatus::Unconfirmed { age } if age == Duration::MAX => "never confirmed".to_owned(),
--- a/crates/mh_node/src/freshness_loop.rs
+++ b/crates/mh_node/src/freshness_loop.rs
@@ -8,7 +8,6 @@
 
 use crate::Node;
 use crate::heartbeat::{REPORT_PART, REPORT_REQUEST_PART};
-use crate::node::lock;
 
 /// Time between two runs of the fetch planner.
 const PLAN_INTERVAL: Duration = Duration::from_millis(25);
@@ -27,7 +26,7 @@
             let node = Arc::clone(&node);
             tokio::spawn(async move { node.send_fetch_request(request).await });
         }
-        let is_current = lock(&node.freshness).tracker.status(Instant::now()).is_current();
+        let is_current = node.freshness.lock().tracker.status(Instant::now()).is_current();
         if is_current != was_current {
             was_current = is_current;
             emit!(if is_current {
@@ -75,7 +74,7 @@
     }
 
     async fn request_report(&self, peer: &VmName, scope: ReportScope) {
-        let addr = lock(&self.peers).addr_of(peer);
+        let addr = self.peers.lock().addr_of(peer);
         let (Some(addr), Some(net)) = (addr, self.net.get()) else {
             return self.with_freshness(|state| state.planner.on_no_response(Instant::now(), peer));
         };
--- a/crates/mh_node/src/heartbeat.rs
+++ b/crates/mh_node/src/heartbeat.rs
@@ -9,7 +9,6 @@
 use tokio::time::Instant;
 
 use crate::Node;
-use crate::node::lock;
 use crate::peers::ReceivedHeartbeat;
 
 /// Mean time between two heartbeats to the same peer.
@@ -32,7 +31,7 @@
 /// Exchanges heartbeats with the other VMs, periodically and immediately after a change.
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
-        let others: Vec<ListedVm> = lock(&node.peers).others(&node.cfg.vm).cloned().collect();
+        let others: Vec<ListedVm> = node.peers.lock().others(&node.cfg.vm).cloned().collect();
         for other in others {
             let node = Arc::clone(&node);
             tokio::spawn(async move { node.send_heartbeat(other).await });
@@ -49,7 +48,7 @@
 impl Node {
     pub(crate) fn heartbeat_parts(&self) -> Vec<Part> {
         let heartbeat = Heartbeat {
-            revision: lock(&self.local_settings).revision(),
+            revision: self.local_settings.lock().revision(),
             leaving: self.is_leaving(),
         };
         let body = postcard::to_stdvec(&heartbeat).map(Bytes::from).unwrap_or_default();
@@ -91,7 +90,7 @@
             revision: heartbeat.revision,
             leaving: heartbeat.leaving,
         };
-        lock(&self.peers).record_heartbeat(&exchange.from.vm, received);
+        self.peers.lock().record_heartbeat(&exchange.from.vm, received);
         self.with_freshness(|state| {
             state.tracker.on_committed(heartbeat.revision);
             // The planner fetches the changes from this peer if this VM lacks them.
@@ -102,11 +101,11 @@
 
     /// Fetches newer settings from a peer; returns `false` if the peer sent none.
     pub(crate) async fn fetch_settings_from(&self, peer: &VmName) -> bool {
-        let addr = lock(&self.peers).addr_of(peer);
+        let addr = self.peers.lock().addr_of(peer);
         let (Some(addr), Some(net)) = (addr, self.net.get()) else {
             return false;
         };
-        let held = lock(&self.local_settings).revision();
+        let held = self.local_settings.lock().revision();
         match net.changes(addr, held).await {
             Ok(changes) => self.apply_peer_changes(&changes),
             Err(_) => false,
--- a/crates/mh_node/src/lending.rs
+++ b/crates/mh_node/src/lending.rs
@@ -9,7 +9,6 @@
 
 use crate::Node;
 use crate::allowances::HOLDER_TICK_INTERVAL;
-use crate::node::lock;
 
 /// Kind of the message part that contains lending messages.
 const LENDING_PART: u16 = 4;
@@ -113,7 +112,7 @@
     }
 
     async fn exchange_parts(&self, vm: &VmName, parts: Vec<Part>) -> Option<Vec<Part>> {
-        let addr = lock(&self.peers).addr_of(vm)?;
+        let addr = self.peers.lock().addr_of(vm)?;
         let answer = self.net.get()?.exchange(addr, self.hello(), parts).await.ok()?;
         (answer.from.vm == *vm).then_some(answer.parts)
     }
--- a/crates/mh_node/src/node.rs
+++ b/crates/mh_node/src/node.rs
@@ -1,10 +1,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use mh_edge::{CallerPort, Edge};
 use mh_once::Owner;
 use mh_platform::{HttpPlatform, ObjectStore, Table, VmList};
+use mh_sync::{Mutex, OuterMutex};
 use mh_types::{Code, Event, Incarnation, emit};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -37,6 +38,8 @@
     pub(crate) objects: Arc<dyn ObjectStore>,
     pub(crate) vm_list: Arc<dyn VmList>,
     pub(crate) local_settings: Mutex<LocalSettings>,
+    /// Held while the state for requests is built and published.
+    pub(crate) publishing: OuterMutex<()>,
     pub(crate) peers: Mutex<Peers>,
     pub(crate) net: OnceLock<PeerNet>,
     pub(crate) freshness: Mutex<FreshnessState>,
@@ -46,12 +49,6 @@
     pub(crate) started: Instant,
 }
 
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    // A poisoned lock is safe to use: the guarded values are replaced in single steps, so a panic in another thread
-    // leaves them consistent.
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Node {
     /// Binds the ports and starts the control loops.
     ///
@@ -89,6 +86,7 @@
             objects: platform.objects,
             vm_list: platform.vms,
             local_settings: Mutex::default(),
+            publishing: OuterMutex::default(),
             peers: Mutex::default(),
             net: OnceLock::new(),
             freshness: Mutex::new(FreshnessState::new(&cfg, incarnation)),
--- a/crates/mh_node/src/peer_handler.rs
+++ b/crates/mh_node/src/peer_handler.rs
@@ -7,7 +7,6 @@
 
 use crate::Node;
 use crate::heartbeat::REPORT_REQUEST_PART;
-use crate::node::lock;
 
 /// Handles the calls of the other VMs.
 pub(crate) struct NodePeerHandler(pub(crate) Arc<Node>);
@@ -39,7 +38,7 @@
     }
 
     fn changes(&self, since: Revision) -> Changes {
-        let local_settings = lock(&self.0.local_settings);
+        let local_settings = self.0.local_settings.lock();
         let revision = local_settings.revision();
         match local_settings.changes_since(since) {
             Some(rows) => Changes {
--- a/crates/mh_node/src/publish.rs
+++ b/crates/mh_node/src/publish.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::Node;
-use crate::node::lock;
+use crate::freshness::AppliedSettings;
 
 /// Weight of every VM in a lookup answer; all VMs are weighted equally.
 const DEFAULT_VM_WEIGHT: u32 = 100;
@@ -15,13 +15,15 @@
 impl Node {
     /// Builds the state that requests read from the current settings and peers, and publishes it.
     pub(crate) fn publish(&self) {
+        // Excludes other publishers from reading the inputs until the state is published, so that an older state cannot
+        // replace a newer one.
+        let publishing = self.publishing.lock();
         let old = self.edge.live();
-        let local_settings = lock(&self.local_settings);
-        let has_new_settings = local_settings.revision() != old.snapshot.revision;
-        let snapshot = if has_new_settings {
-            Arc::new(Snapshot::compile(local_settings.settings()))
-        } else {
-            Arc::clone(&old.snapshot)
+        let new_settings = self.new_settings(&old);
+        let has_new_settings = new_settings.is_some();
+        let (snapshot, applied) = match new_settings {
+            Some((snapshot, applied)) => (Arc::new(snapshot), Some(applied)),
+            None => (Arc::clone(&old.snapshot), None),
         };
         let location = VmLocation {
             domain: self.cfg.domain.clone(),
@@ -38,7 +40,7 @@
         } else {
             old.backends.clone()
         };
-        let share = lock(&self.peers).share((&self.cfg.domain, &self.cfg.region));
+        let share = self.peers.lock().share((&self.cfg.domain, &self.cfg.region));
         let limiters = if has_new_settings {
             Arc::new(self.allowances.sync(&snapshot))
         } else {
@@ -58,21 +60,26 @@
             share,
             leaving: self.is_leaving(),
         };
-        // The settings stay locked up to this point, so that an older state cannot replace a newer one.
         self.edge.publish(live);
-        if has_new_settings {
+        if let Some(applied) = applied {
             // Requests already read the new settings, so this VM may now be reported as holding them.
-            self.record_applied_settings(local_settings.settings());
-        }
-        let revision = local_settings.revision();
-        drop(local_settings);
-        if has_new_settings {
+            let revision = applied.revision;
+            self.record_applied_settings(applied);
+            drop(publishing);
             emit!(Event::SettingsApplied, revision = revision);
         }
     }
 
+    /// Compiles the settings held, if requests do not read them yet.
+    fn new_settings(&self, old: &LiveState) -> Option<(Snapshot, AppliedSettings)> {
+        let local_settings = self.local_settings.lock();
+        let settings = local_settings.settings();
+        (local_settings.revision() != old.snapshot.revision)
+            .then(|| (Snapshot::compile(settings), AppliedSettings::of(settings)))
+    }
+
     fn vm_choices(&self) -> Vec<VmChoice> {
-        let peers = lock(&self.peers);
+        let peers = self.peers.lock();
         let usable = peers.usable(&self.cfg.vm, (&self.cfg.domain, &self.cfg.region), Instant::now());
         let staying = usable
             .into_iter()
--- a/crates/mh_node/src/roster_loop.rs
+++ b/crates/mh_node/src/roster_loop.rs
@@ -10,7 +10,6 @@
 use crate::Node;
 use crate::absence_tracker::AbsenceTracker;
 use crate::freshness::{ROSTER_PATH, roster_entry};
-use crate::node::lock;
 
 /// Minimum time between two comparisons of the roster with the list of VMs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -42,18 +41,18 @@
 impl Node {
     /// Returns the number of listed VMs whose names sort before this VM's name.
     pub(crate) fn rank(&self) -> u32 {
-        let peers = lock(&self.peers);
+        let peers = self.peers.lock();
         peers.listing.vms.iter().filter(|vm| vm.name < self.cfg.vm).count() as u32
     }
 
     /// Returns the next roster and the revision of the one that it replaces; `None` if no change is due.
     fn next_roster(&self, absence: &mut AbsenceTracker) -> Option<(Roster, Revision)> {
-        let listed: Vec<ListedVm> = lock(&self.peers).listing.vms.clone();
-        if !lock(&self.freshness).tracker.status(Instant::now()).is_current() || listed.is_empty() {
+        let listed: Vec<ListedVm> = self.peers.lock().listing.vms.clone();
+        if !self.freshness.lock().tracker.status(Instant::now()).is_current() || listed.is_empty() {
             return None;
         }
         let (current, revision) = {
-            let local_settings = lock(&self.local_settings);
+            let local_settings = self.local_settings.lock();
             let entry = roster_entry(local_settings.settings());
             let doc = entry.and_then(|entry| {
                 if let Doc::Roster(doc) = &*entry.doc {
@@ -100,7 +99,7 @@
     }
 
     fn is_roster_change_complete(&self, revision: Revision) -> bool {
-        let state = lock(&self.freshness);
+        let state = self.freshness.lock();
         state.tracker.roster().revision() >= revision && state.tracker.roster().previous().is_none()
     }
 }
--- a/crates/mh_node/src/settings_commit.rs
+++ b/crates/mh_node/src/settings_commit.rs
@@ -8,7 +8,6 @@
 
 use crate::Node;
 use crate::freshness::ROSTER_PATH;
-use crate::node::lock;
 use crate::settings_store::{HEAD_PATH, Head, doc_path, head_value, log_path};
 
 /// Maximum attempts of a commit that conflicts with changes of other paths.
@@ -82,9 +81,9 @@
             .transpose()?;
         check_revision(req.if_revision, path, found.as_ref())?;
         // A restored table may lack changes that other VMs hold; they write them back first.
-        let known = lock(&self.freshness).tracker.highest_committed();
+        let known = self.freshness.lock().tracker.highest_committed();
         {
-            let local_settings = lock(&self.local_settings);
+            let local_settings = self.local_settings.lock();
             if local_settings.revision() != head.revision || known > head.revision {
                 return Ok(None);
             }
@@ -115,7 +114,7 @@
             Err(e) => {
                 if e.current_context().0 == Code::OutcomeUnknown {
                     self.with_freshness(|state| state.tracker.on_commit_unknown(revision));
-                    lock(&self.unresolved).push(UnresolvedCommit {
+                    self.unresolved.lock().push(UnresolvedCommit {
                         revision,
                         commit,
                         write_id: write_id.to_owned(),
@@ -133,7 +132,7 @@
     ///
     /// Until the outcome is known, this VM cannot be current: the change may be in force elsewhere.
     pub(crate) async fn resolve_commits(&self) {
-        let pending = std::mem::take(&mut *lock(&self.unresolved));
+        let pending = std::mem::take(&mut *self.unresolved.lock());
         for unresolved in pending {
             let UnresolvedCommit {
                 revision,
@@ -149,7 +148,7 @@
                 Ok(committed) => {
                     self.with_freshness(|state| state.tracker.on_commit_resolved(*revision, committed));
                 }
-                Err(_) => lock(&self.unresolved).push(unresolved),
+                Err(_) => self.unresolved.lock().push(unresolved),
             }
         }
     }
@@ -171,7 +170,7 @@
         loop {
             self.heartbeat_now.notify_one();
             let missing = self.vms_lacking(revision);
-            let accepted = lock(&self.freshness).tracker.acceptance(revision).is_accepted();
+            let accepted = self.freshness.lock().tracker.acceptance(revision).is_accepted();
             if (accepted && missing.is_empty()) || Instant::now() >= deadline {
                 return ChangeReply {
                     revision,
@@ -185,7 +184,7 @@
 
     /// Returns the listed VMs that have not yet reported that they hold `revision`.
     fn vms_lacking(&self, revision: Revision) -> Vec<String> {
-        let peers = lock(&self.peers);
+        let peers = self.peers.lock();
         let lacks = |name| {
             peers
                 .heartbeats
--- a/crates/mh_node/src/shifts.rs
+++ b/crates/mh_node/src/shifts.rs
@@ -2,17 +2,17 @@
 mod table;
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use mh_config::{CompiledShift, Snapshot};
 use mh_edge::VersionGate;
 use mh_shift::{Fraction, Guard, Rows, Shift, ShiftSpec, State, TakeBackReason, VmContext};
+use mh_sync::Mutex;
 use mh_types::{Event, Incarnation, Revision, RouteName, ServiceName, ShiftName, emit};
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use crate::node::lock;
 use crate::{Node, VmSettings};
 
 /// Time between two steps of the shifts.
@@ -52,7 +52,7 @@
 
     /// Updates the shifts to those of a settings revision, and returns the gates for requests.
     pub(crate) fn sync(&self, snapshot: &Snapshot, rank: u32) -> HashMap<ServiceName, Arc<VersionGate>> {
-        let mut active = lock(&self.active);
+        let mut active = self.active.lock();
         let shift_id = |shift: &CompiledShift| (shift.name.clone(), shift.created);
         active.retain(|active_id, _| snapshot.shifts.iter().any(|shift| shift_id(shift) == *active_id));
         for compiled in &snapshot.shifts {
@@ -130,7 +130,7 @@
 
     /// Returns the state of each shift, for operators.
     pub(crate) fn view(&self) -> Value {
-        let active = lock(&self.active);
+        let active = self.active.lock();
         let views = active.iter().map(|((name, created), active)| {
             let shift = &active.shift;
             json!({
@@ -154,7 +154,7 @@
     /// VMs immediately.
     fn report_changes(&self) -> bool {
         let mut changed = false;
-        for ((name, _), active) in lock(&self.active).iter_mut() {
+        for ((name, _), active) in self.active.lock().iter_mut() {
             let shift = &active.shift;
             let stopped = shift.stop_reason().map_or_else(String::new, TakeBackReason::to_string);
             let report = format!(
--- a/crates/mh_node/src/shifts/evidence.rs
+++ b/crates/mh_node/src/shifts/evidence.rs
@@ -5,7 +5,6 @@
 use tokio::time::Instant;
 
 use super::Shifts;
-use crate::node::lock;
 
 /// Kind of the message part that contains the shift evidence.
 const EVIDENCE_PART: u16 = 7;
@@ -20,7 +19,7 @@
 impl Shifts {
     /// Returns this VM's evidence for a peer; `None` if there are no shifts.
     pub(crate) fn evidence_part(&self) -> Option<Part> {
-        let mut active = lock(&self.active);
+        let mut active = self.active.lock();
         let evidence_list = active.iter_mut().map(|((name, created), active)| ShiftEvidence {
             name: name.clone(),
             created: *created,
@@ -48,7 +47,7 @@
             }
         };
         let now = Instant::now();
-        let mut active = lock(&self.active);
+        let mut active = self.active.lock();
         for shift_evidence in evidence_list {
             if let Some(active) = active.get_mut(&(shift_evidence.name, shift_evidence.created)) {
                 active.shift.merge(
--- a/crates/mh_node/src/shifts/table.rs
+++ b/crates/mh_node/src/shifts/table.rs
@@ -9,7 +9,6 @@
 
 use super::{NO_ROWS, ShiftId};
 use crate::Node;
-use crate::node::lock;
 
 /// Path prefix of the shift rows.
 const SHIFT_ROW_PREFIX: &str = "/mangohook/shifts/";
@@ -24,7 +23,7 @@
     /// Advances every shift, and starts the table reads and writes that it requests.
     pub(crate) fn step_shifts(self: &Arc<Self>) {
         let (now, wall_now) = (Instant::now(), Timestamp::now());
-        for (id, active) in lock(&self.shifts.active).iter_mut() {
+        for (id, active) in self.shifts.active.lock().iter_mut() {
             let shift = &mut active.shift;
             shift.evaluate(now, wall_now);
             for write in shift.writes(now, wall_now) {
@@ -43,7 +42,7 @@
 
     async fn read_shift(self: Arc<Self>, id: ShiftId) {
         let read = self.shift_rows(&id).await;
-        if let Some(active) = lock(&self.shifts.active).get_mut(&id) {
+        if let Some(active) = self.shifts.active.lock().get_mut(&id) {
             match read {
                 Ok(read) => active.shift.on_rows(Instant::now(), read.rows),
                 Err(_) => active.rows_read = false,
@@ -99,7 +98,7 @@
         };
         let is_in_step_row = read.rows.step.as_ref().is_some_and(|row| row.write == write_id);
         let is_in_end_row = read.rows.end.as_ref().is_some_and(|row| row.write == write_id);
-        if let Some(active) = lock(&self.shifts.active).get_mut(&id) {
+        if let Some(active) = self.shifts.active.lock().get_mut(&id) {
             active.shift.on_rows(Instant::now(), read.rows);
         }
         let outcome = if is_in_step_row || is_in_end_row {
@@ -111,7 +110,7 @@
     }
 
     fn report_shift_outcome(&self, id: &ShiftId, write_id: &WriteId, outcome: WriteOutcome) {
-        if let Some(active) = lock(&self.shifts.active).get_mut(id) {
+        if let Some(active) = self.shifts.active.lock().get_mut(id) {
             active.shift.on_outcome(Instant::now(), write_id, outcome);
         }
         self.heartbeat_now.notify_one();
--- a/crates/mh_node/src/vm_list_loop.rs
+++ b/crates/mh_node/src/vm_list_loop.rs
@@ -4,7 +4,6 @@
 use mh_types::{Event, emit};
 
 use crate::Node;
-use crate::node::lock;
 
 /// Mean time between two reads of the list of VMs.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -22,7 +21,7 @@
                     node.send_lending(out);
                 }
                 let changed = {
-                    let mut peers = lock(&node.peers);
+                    let mut peers = node.peers.lock();
                     let changed = peers.listing != listing;
                     peers.listing = listing;
                     changed
--- a/crates/mh_once/src/table_state.rs
+++ b/crates/mh_once/src/table_state.rs
@@ -1,7 +1,8 @@
 use std::fmt;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use mh_sync::{Mutex, MutexGuard};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -144,7 +145,7 @@
     pub(crate) fn purge(&self, now: Instant) {
         let now_ms = self.owner.elapsed_ms(now);
         for shard in &self.shards {
-            let mut shard = lock(shard);
+            let mut shard = shard.lock();
             shard.advance_clock(now_ms);
             self.release_entries(shard.purge(usize::MAX));
         }
@@ -153,7 +154,7 @@
     pub(crate) fn usage(&self) -> TableUsage {
         self.shards
             .iter()
-            .map(|shard| lock(shard).usage())
+            .map(|shard| shard.lock().usage())
             .fold(TableUsage::default(), |sum, part| TableUsage {
                 entries: sum.entries + part.entries,
                 running: sum.running + part.running,
@@ -173,7 +174,7 @@
     }
 
     fn shard(&self, key: RecordKey) -> MutexGuard<'_, Shard> {
-        lock(&self.shards[key.shard(SHARDS)])
+        self.shards[key.shard(SHARDS)].lock()
     }
 }
 
@@ -186,8 +187,3 @@
             .finish_non_exhaustive()
     }
 }
-
-/// Locks a shard, ignoring poisoning: no foreign code runs under the lock, so the records are consistent.
-fn lock(shard: &Mutex<Shard>) -> MutexGuard<'_, Shard> {
-    shard.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/mh_shift/src/canary.rs
+++ b/crates/mh_shift/src/canary.rs
@@ -12,8 +12,8 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
 
+use mh_sync::Mutex;
 use mh_types::RouteName;
 
 pub use sample::{CanaryFault, CanarySample};
@@ -69,7 +69,7 @@
 
     /// Records the result of a request to either version.
     pub fn observe(&self, route: &RouteName, sample: CanarySample) {
-        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut routes = self.routes.lock();
         let answers = routes.entry(route.clone()).or_default();
         let side = if sample.is_new {
             &mut answers.new
@@ -81,7 +81,7 @@
 
     /// Verdict on the evidence so far.
     pub fn verdict(&self) -> Verdict {
-        let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let routes = self.routes.lock();
         let mut all = VersionAnswers::default();
         for answers in routes.values() {
             if let Some(reason) = self.fault(answers) {
@@ -102,7 +102,7 @@
 
     /// Evidence by route, for log lines.
     pub fn summary(&self) -> String {
-        let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let routes = self.routes.lock();
         let answers = routes
             .iter()
             .map(|(route, answers)| format!("{route}: old {} new {}", answers.old, answers.new));
