Decide once for a version whether requests may use it

Cause: that v2 had been rolled back stood only in the record of the last shift, which the order of v3 replaced; the request path excluded only the version of the present order. The hold for versions without an order belonged to the server and counted for the first one only.

Change: ServiceVersions decides for a version, for all its servers and in all phases, what the pool of a service contains. The record of a shift names the versions that were rolled back or replaced; each record is derived under a condition from the one before it, so a VM that starts later or has missed a record learns them with the newest. Records of an earlier release lack them and are completed. A version that is ordered again follows its new order. A canary that finds a fault sends nothing more to the version, also while the store is away.

--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -2,6 +2,7 @@
 mod live;
 mod planned_drains;
 mod restored;
+mod service_versions;
 mod snapshot;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -10,19 +11,20 @@
 
 use mh_poison::Fingerprint;
 use mh_shift::Verdict;
-use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VersionName, VmName, emit};
+use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VmName, emit};
 use mh_usage::DutyRow;
 use tokio::time::Instant;
 
 use super::backend_inputs::BackendInputs;
 use super::known_server::KnownServer;
-use super::shift_controller::{ShiftCanary, ShiftController, next_record};
+use super::shift_controller::{DueRecord, RANK_DELAY, ShiftCanary, ShiftController, next_record};
 use crate::{
-    AnnouncedVm, Assignment, Batch, Bounds, Feed, PlacementSettings, Plan, RegisteredServer, ShiftOrder, ShiftRecord,
-    StoredQuarantine, Update,
+    AnnouncedVm, Assignment, Batch, Bounds, Feed, PlacementSettings, Plan, RegisteredServer, ShiftOrder, ShiftPhase,
+    ShiftRecord, StoredQuarantine, Update,
 };
 use planned_drains::PlannedDrains;
 use restored::RestoredState;
+use service_versions::ServiceVersions;
 
 /// This VM's state of the deployment, built from the feeds of the source.
 #[derive(Debug)]
@@ -36,7 +38,7 @@
     planned_drains: PlannedDrains,
     assignment: Assignment,
     vms: BTreeMap<VmName, AnnouncedVm>,
-    known_versions: HashMap<ServiceName, HashSet<VersionName>>,
+    versions: HashMap<ServiceName, ServiceVersions>,
     /// Feeds that were read at least once.
     read_feeds: HashSet<Feed>,
     /// Feeds whose changes do not arrive at present.
@@ -72,7 +74,7 @@
             planned_drains: PlannedDrains::default(),
             assignment: Assignment::default(),
             vms: BTreeMap::new(),
-            known_versions: HashMap::new(),
+            versions: HashMap::new(),
             read_feeds: HashSet::new(),
             lost_feeds: HashSet::new(),
             entries_return_by: None,
@@ -120,6 +122,7 @@
         }
         if is_whole && self.restored.enter_era(feed, batch.version.era) {
             self.apply_restored(feed, batch, now);
+            self.set_retired_versions(batch);
             return;
         }
         if is_whole {
@@ -136,6 +139,7 @@
             }
             self.update(update, now);
         }
+        self.set_retired_versions(batch);
         let drained = &self.drained;
         self.planned_drains.retain(|domain| drained.contains(domain));
     }
@@ -203,34 +207,71 @@
 
     /// Returns the record that is to be written next for a shift; `None` while none is due, or if the shift was ordered
     /// anew since `canary` was chosen. `verdict` is what its evidence says.
-    pub(super) fn next_shift_record(
-        &self,
-        canary: &ShiftCanary,
-        verdict: Verdict,
-        now: Instant,
-    ) -> Option<ShiftRecord> {
+    pub(super) fn next_shift_record(&self, canary: &ShiftCanary, verdict: Verdict, now: Instant) -> Option<DueRecord> {
         let service = &canary.service;
         let order = self.orders.get(service).filter(|order| order.version == canary.order)?;
         let record = self.records.get(service);
         let (no_record, clock) = (self.no_record_version()?, self.store_clock(now)?);
         let due = next_record(order, record, canary.rank, verdict, no_record, clock);
-        due.or_else(|| record.filter(|_| self.is_record_outdated(service)).cloned())
+        let due = due.or_else(|| record.filter(|_| self.is_record_outdated(service)).cloned());
+        due.map(|due| self.with_retired_versions(service, due))
+    }
+
+    /// Returns the stored records that lack retired versions. `rank` is this VM's rank for a service, so that not all VMs
+    /// complete a record at once.
+    pub(super) fn incomplete_records(
+        &self,
+        now: Instant,
+        rank: impl Fn(&ServiceName) -> Option<usize>,
+    ) -> Vec<(ServiceName, DueRecord)> {
+        let Some(clock) = self.store_clock(now) else {
+            return Vec::new();
+        };
+        let incomplete = self.records.iter().filter_map(|(service, record)| {
+            let is_incomplete = self.versions.get(service)?.is_incomplete(record);
+            let rank = rank(service).filter(|_| is_incomplete)?;
+            let due_at = record.started.saturating_add(RANK_DELAY * rank as u32);
+            let due = || self.with_retired_versions(service, record.clone());
+            (clock >= due_at).then(|| (service.clone(), due()))
+        });
+        incomplete.collect()
+    }
+
+    fn with_retired_versions(&self, service: &ServiceName, record: ShiftRecord) -> DueRecord {
+        let before = self.records.get(service).filter(|before| before.to != record.to);
+        let superseded = before
+            .filter(|before| before.phase != ShiftPhase::Done)
+            .map(|before| &before.to);
+        let versions = self.versions.get(service);
+        let retired = versions
+            .map(|versions| versions.retired_by(&record))
+            .unwrap_or_default();
+        DueRecord {
+            retired: retired.into_iter().chain(superseded.cloned()).collect(),
+            record,
+        }
     }
 
     /// Returns the next time after `now` at which the state changes without an update.
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let servers = self.servers.values();
-        let times = servers.flat_map(|server| [server.removed_at, Some(server.version_open_at)]);
-        let times = times
-            .flatten()
+        let hold_ends = self.versions.values().flat_map(ServiceVersions::hold_ends);
+        let times = servers
+            .filter_map(|server| server.removed_at)
+            .chain(hold_ends)
             .chain(self.restored.deadlines())
             .chain(self.planned_drains.steps());
         times.filter(|at| *at > now).min()
     }
 
-    /// Removes what was kept for a limited time and is due: servers, and settings that a restore of the store lost.
+    /// Removes what was kept for a limited time and is due: servers, and settings that a restore of the store lost. Ends
+    /// the wait of versions for an order.
     pub fn expire(&mut self, now: Instant) {
         self.expire_lost(now);
+        // Without the settings feed, the order may exist.
+        if !self.lost_feeds.contains(&Feed::Settings) {
+            self.versions.values_mut().for_each(|versions| versions.end_holds(now));
+        }
         let restored = &mut self.restored;
         self.servers.retain(|name, server| {
             let gone = server.removed_at.is_some_and(|at| at <= now);
@@ -250,8 +291,19 @@
                 self.orders.retain(|service, _| self.restored.is_order_lost(service));
             }
             Feed::Shifts => {
+                let recorded = batch.named(|update| match update {
+                    Update::Shift(service, Some(_)) => Some(service),
+                    _ => None,
+                });
                 let restored = &self.restored;
-                self.records.retain(|service, _| restored.is_record_outdated(service));
+                let versions = &mut self.versions;
+                self.records.retain(|service, record| {
+                    let is_kept = recorded.contains(service) || restored.is_record_outdated(service);
+                    if !is_kept {
+                        versions.entry(service.clone()).or_default().on_record_removed(record);
+                    }
+                    is_kept
+                });
             }
             Feed::Vms => {
                 let named = batch.named(|update| match update {
@@ -315,6 +367,8 @@
             Update::Server(name, Some(entry)) => self.set_server(name, entry, now),
             Update::Server(name, None) => self.remove_server(name, now),
             Update::Shift(service, record) => self.set_record(service, record.as_ref()),
+            // Applied after the records of the batch.
+            Update::RetiredVersions(..) => {}
             Update::Vm(name, Some(vm)) => {
                 if self.vms.insert(name.clone(), vm.clone()).as_ref() != Some(vm) {
                     emit!(Event::VmListed, vm = name, domain = vm.domain, callers = vm.callers);
@@ -349,7 +403,12 @@
 
     fn set_record(&mut self, service: &ServiceName, record: Option<&ShiftRecord>) {
         let Some(record) = record else {
-            self.records.remove(service);
+            if let Some(removed) = self.records.remove(service) {
+                self.versions
+                    .entry(service.clone())
+                    .or_default()
+                    .on_record_removed(&removed);
+            }
             return;
         };
         emit!(
@@ -359,9 +418,21 @@
             phase = format_args!("{:?}", record.phase)
         );
         let record = self.merge_record(service, record);
+        let versions = self.versions.entry(service.clone()).or_default();
+        versions.on_record(&record, self.records.get(service));
         self.records.insert(service.clone(), record);
     }
 
+    /// Follows the retired versions that the records in `batch` name.
+    fn set_retired_versions(&mut self, batch: &Batch) {
+        for update in &batch.updates {
+            if let Update::RetiredVersions(service, retired) = update {
+                let versions = self.versions.entry(service.clone()).or_default();
+                versions.on_retired(retired, batch.version.era, self.records.get(service));
+            }
+        }
+    }
+
     fn set_server(&mut self, name: &ServerName, entry: &RegisteredServer, now: Instant) {
         if let Some(known) = self.servers.get_mut(name)
             && known.entry.run == entry.run
@@ -380,12 +451,9 @@
             known.removed_at = None;
             return;
         }
-        let versions = self.known_versions.entry(entry.service.clone()).or_default();
-        // The first registered servers of a service show the versions that already serve it.
-        let is_initial_version = !self.read_feeds.contains(&Feed::Servers)
-            || !self.servers.values().any(|s| s.entry.service == entry.service);
-        let is_version_known = versions.contains(&entry.version) || is_initial_version;
-        versions.insert(entry.version.clone());
+        let is_first_read = !self.read_feeds.contains(&Feed::Servers);
+        let versions = self.versions.entry(entry.service.clone()).or_default();
+        versions.add(&entry.version, is_first_read, now);
         emit!(
             Event::ServerListed,
             server = name,
@@ -395,8 +463,7 @@
             leaving = entry.leaving,
             cold_ms = entry.cold_for.as_millis()
         );
-        self.servers
-            .insert(name.clone(), KnownServer::new(entry.clone(), now, is_version_known));
+        self.servers.insert(name.clone(), KnownServer::new(entry.clone(), now));
     }
 
     fn remove_server(&mut self, name: &ServerName, now: Instant) {
--- a/crates/mh_gateway/src/control/deployment_state/live.rs
+++ b/crates/mh_gateway/src/control/deployment_state/live.rs
@@ -1,17 +1,17 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use mh_route::ServerSpec;
 use mh_route::admission::{Admission, AdmissionRoute};
 use mh_route::objects::assignment::MoveCounts;
 use mh_route::objects::{ListedServer, RegionDistribution, WorkTimes};
-use mh_types::{Event, RegionName, ServiceName, emit};
+use mh_types::{Event, RegionName, ServiceName, VersionName, emit};
 use tokio::time::Instant;
 
 use super::DeploymentState;
+use super::service_versions::{ServiceVersions, VersionUse};
 use crate::control::backend_inputs::BackendInputs;
-use crate::control::known_server::KnownServer;
-use crate::{Feed, LiveState, Plan, ServiceBackends};
+use crate::{Feed, LiveState, Plan, RegisteredServer, ServiceBackends};
 
 /// Builds the admission of each service that routes of different priority use; measurements are kept if its routes are the
 /// same as before.
@@ -131,13 +131,17 @@
     }
 
     fn usable_servers_by_service(&self, now: Instant) -> HashMap<ServiceName, Vec<ListedServer>> {
+        let usable_versions = self.usable_versions();
         let mut out: HashMap<ServiceName, Vec<ListedServer>> = HashMap::new();
         for (name, server) in &self.servers {
             let entry = &server.entry;
             let Some(region) = self.regions.get(&entry.domain) else {
                 continue;
             };
-            if !self.is_version_open(server, now) {
+            if !usable_versions
+                .get(&entry.service)
+                .is_some_and(|versions| versions.contains(&entry.version))
+            {
                 continue;
             }
             let is_drained = self.drained.contains(&entry.domain);
@@ -165,23 +169,33 @@
         out
     }
 
-    /// Returns whether servers of this version may be used. A version that is new to its service waits for its shift
-    /// order. Without an order, it is used once the settings have been readable for a while, or if no other version is
-    /// left.
-    fn is_version_open(&self, server: &KnownServer, now: Instant) -> bool {
-        let entry = &server.entry;
-        let order = self.orders.get(&entry.service);
-        let is_ordered = order.is_some_and(|order| order.to == entry.version);
-        let is_hold_over = !self.lost_feeds.contains(&Feed::Settings) && now >= server.version_open_at;
-        let others_serve = || {
-            let servers = self
-                .servers
-                .values()
-                .filter(|other| other.entry.service == entry.service);
-            servers
-                .filter(|other| other.entry.version != entry.version)
-                .any(|other| !other.entry.leaving && other.is_version_known)
-        };
-        server.is_version_known || is_ordered || is_hold_over || !others_serve()
+    /// Returns the versions of each service whose servers may be used.
+    fn usable_versions(&self) -> HashMap<&ServiceName, HashSet<&VersionName>> {
+        let mut out: HashMap<&ServiceName, HashSet<&VersionName>> = HashMap::new();
+        let mut reserve: HashMap<&ServiceName, HashSet<&VersionName>> = HashMap::new();
+        let mut serving: HashSet<&ServiceName> = HashSet::new();
+        for server in self.servers.values() {
+            let RegisteredServer { service, version, .. } = &server.entry;
+            let versions = self.versions.get(service);
+            let decide = |versions: &ServiceVersions| {
+                versions.decide(version, self.orders.get(service), self.records.get(service))
+            };
+            match versions.map_or(VersionUse::Reserve, decide) {
+                VersionUse::Allowed => {
+                    out.entry(service).or_default().insert(version);
+                    if !server.entry.leaving {
+                        serving.insert(service);
+                    }
+                }
+                VersionUse::Exposed => drop(out.entry(service).or_default().insert(version)),
+                VersionUse::Reserve => drop(reserve.entry(service).or_default().insert(version)),
+                VersionUse::Denied => {}
+            }
+        }
+        reserve.retain(|service, _| !serving.contains(service));
+        for (service, versions) in reserve {
+            out.entry(service).or_default().extend(versions);
+        }
+        out
     }
 }
--- a/crates/mh_gateway/src/control/deployment_state/restored.rs
+++ b/crates/mh_gateway/src/control/deployment_state/restored.rs
@@ -77,7 +77,8 @@
             | Update::Server(..)
             | Update::Shift(..)
             | Update::Quarantine(..)
-            | Update::UsageDuty(_) => {}
+            | Update::UsageDuty(_)
+            | Update::RetiredVersions(..) => {}
         }
     }
 
--- a/crates/mh_gateway/src/control/deployment_state/snapshot.rs
+++ b/crates/mh_gateway/src/control/deployment_state/snapshot.rs
@@ -33,9 +33,16 @@
             }
             Feed::Shifts => {
                 let records = self.records.iter();
-                records
-                    .map(|(service, record)| Update::Shift(service.clone(), Some(record.clone())))
-                    .collect()
+                let records = records.map(|(service, record)| Update::Shift(service.clone(), Some(record.clone())));
+                let retired = self
+                    .versions
+                    .iter()
+                    .filter(|(_, versions)| !versions.retired().is_empty());
+                let retired = retired.map(|(service, versions)| {
+                    let retired = versions.retired().iter().cloned().collect();
+                    Update::RetiredVersions(service.clone(), retired)
+                });
+                records.chain(retired).collect()
             }
             Feed::Vms => {
                 let vms = self.vms.iter().filter(|(vm, _)| !self.restored.is_vm_lost(vm));
--- a/crates/mh_gateway/src/control/shift_controller.rs
+++ b/crates/mh_gateway/src/control/shift_controller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mh_shift::{Canary, CanaryThresholds, Verdict};
-use mh_types::{ServiceName, StoreVersion};
+use mh_types::{ServiceName, StoreVersion, VersionName};
 
 use crate::{ActiveShift, ShiftOrder, ShiftPhase, ShiftRecord};
 
@@ -22,7 +22,7 @@
 const DONE_LEAD: Duration = Duration::from_millis(600);
 
 /// Delay per rank, so that the VMs ranked before a VM get to write first.
-const RANK_DELAY: Duration = Duration::from_millis(200);
+pub(super) const RANK_DELAY: Duration = Duration::from_millis(200);
 
 /// Canary state of the shifts that this VM takes part in.
 #[derive(Debug, Default)]
@@ -109,6 +109,14 @@
     }
 }
 
+/// A record that is to be written.
+#[derive(Debug)]
+pub(super) struct DueRecord {
+    pub(super) record: ShiftRecord,
+    /// Versions of the service that may not be used once the record is stored.
+    pub(super) retired: Vec<VersionName>,
+}
+
 /// A shift for which this VM is a canary.
 #[derive(Debug)]
 pub(super) struct ShiftCanary {
--- a/crates/mh_gateway/src/control/shift_writer.rs
+++ b/crates/mh_gateway/src/control/shift_writer.rs
@@ -5,7 +5,7 @@
 use std::hash::Hasher;
 use tokio::time::Instant;
 
-use super::shift_controller::{CANARY_VMS, ShiftCanary};
+use super::shift_controller::{CANARY_VMS, DueRecord, ShiftCanary};
 use crate::node::GatewayNode;
 use crate::{ShiftRecord, WriteOutcome};
 
@@ -13,24 +13,47 @@
 /// changed.
 pub(super) fn run_shifts(node: &Arc<GatewayNode>, alive: &[VmName], vms: u32, now: Instant) -> bool {
     let (canaries, changed) = choose_canaries(node, alive, vms);
-    for canary in canaries {
+    for canary in &canaries {
         let verdict = canary.evidence.verdict();
-        let due = node.control.lock().deployment.next_shift_record(&canary, verdict, now);
-        let service = canary.service;
-        if let Some(due) = due.filter(|due| node.claim_shift_write(&service, due.phase, now)) {
-            emit!(
-                Event::ShiftDecided,
-                service = service,
-                to = due.to,
-                phase = format_args!("{:?}", due.phase),
-                evidence = format_args!("{verdict}: {}", canary.evidence.summary())
-            );
-            tokio::spawn(write_record(Arc::clone(node), service, due));
-        }
+        let due = node.control.lock().deployment.next_shift_record(canary, verdict, now);
+        write_due(node, &canary.service, due, now, || {
+            format!("{verdict}: {}", canary.evidence.summary())
+        });
+    }
+    // The canaries may all be of an earlier release.
+    let incomplete = node
+        .control
+        .lock()
+        .deployment
+        .incomplete_records(now, |service| rank(service, alive, node.gateway.vm()));
+    for (service, due) in incomplete {
+        write_due(node, &service, Some(due), now, || {
+            "retired versions are missing".to_owned()
+        });
     }
     changed
 }
 
+/// Writes a record that is due, unless this VM has just tried to.
+fn write_due(
+    node: &Arc<GatewayNode>,
+    service: &ServiceName,
+    due: Option<DueRecord>,
+    now: Instant,
+    evidence: impl Fn() -> String,
+) {
+    if let Some(due) = due.filter(|due| node.claim_shift_write(service, due.record.phase, now)) {
+        emit!(
+            Event::ShiftDecided,
+            service = service,
+            to = due.record.to,
+            phase = format_args!("{:?}", due.record.phase),
+            evidence = evidence()
+        );
+        tokio::spawn(write_record(Arc::clone(node), service.clone(), due));
+    }
+}
+
 /// Decides for which shifts this VM is a canary; returns these, and whether that changed.
 fn choose_canaries(node: &GatewayNode, alive: &[VmName], vms: u32) -> (Vec<ShiftCanary>, bool) {
     let share = node.gateway.bounds().exposure_share;
@@ -54,9 +77,10 @@
     (canaries, changed)
 }
 
-async fn write_record(node: Arc<GatewayNode>, service: ServiceName, record: ShiftRecord) {
+async fn write_record(node: Arc<GatewayNode>, service: ServiceName, due: DueRecord) {
+    let DueRecord { record, retired } = due;
     let held_era = record.version.era;
-    match node.source.record_shift(&service, &record).await {
+    match node.source.record_shift(&service, &record, &retired).await {
         // The feed delivers the record to all VMs, including this one; applying it at once ends the exposure of a bad
         // version earlier.
         Ok(WriteOutcome::Done(version)) => {
@@ -68,7 +92,7 @@
             };
             // After a restore the feed is read anew.
             if version.era == held_era {
-                node.apply_own_record(&service, written);
+                node.apply_own_record(&service, written, retired);
             }
         }
         // Another VM wrote first; the feed delivers its record.
--- a/crates/mh_gateway/src/node/gateway_node.rs
+++ b/crates/mh_gateway/src/node/gateway_node.rs
@@ -13,7 +13,7 @@
 use mh_member::Outbox;
 use mh_route::objects::DemandDistribution;
 use mh_sync::Mutex;
-use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VmName, emit};
+use mh_types::{Code, Event, Incarnation, RegionName, ServiceName, VersionName, VmName, emit};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -401,8 +401,8 @@
         is_due
     }
 
-    /// Applies a shift record that this VM has written.
-    pub(crate) fn apply_own_record(&self, service: &ServiceName, record: ShiftRecord) {
+    /// Applies a shift record that this VM has written, with the retired versions that it names.
+    pub(crate) fn apply_own_record(&self, service: &ServiceName, record: ShiftRecord, retired: Vec<VersionName>) {
         let now = Instant::now();
         {
             let deployment = &mut self.control.lock().deployment;
@@ -414,7 +414,10 @@
                 version: record.version,
                 last_changed_version: record.version,
                 clock,
-                updates: vec![Update::Shift(service.clone(), Some(record))],
+                updates: vec![
+                    Update::Shift(service.clone(), Some(record)),
+                    Update::RetiredVersions(service.clone(), retired),
+                ],
             };
             deployment.apply(Feed::Shifts, &batch, false, now);
         }
--- a/crates/mh_gateway/src/source.rs
+++ b/crates/mh_gateway/src/source.rs
@@ -16,7 +16,7 @@
 use error_stack::Report;
 use mh_platform::{BoxFuture, PlatformError, Result};
 use mh_poison::Fingerprint;
-use mh_types::{Code, ServiceName, StoreVersion, VmName};
+use mh_types::{Code, ServiceName, StoreVersion, VersionName, VmName};
 use mh_usage::{DutyRow, StoredUsage, WindowRecord};
 
 pub use announced_vm::AnnouncedVm;
@@ -56,11 +56,12 @@
     fn remove_quarantine<'a>(&'a self, fingerprint: &'a Fingerprint) -> BoxFuture<'a, Result<()>>;
 
     /// Records the progress of a shift if the stored record still has the version of `record` and the store was not
-    /// restored since that was read.
+    /// restored since that was read. `retired` are the versions of the service that may not be used from then on.
     fn record_shift<'a>(
         &'a self,
         service: &'a ServiceName,
         record: &'a ShiftRecord,
+        retired: &'a [VersionName],
     ) -> BoxFuture<'a, Result<WriteOutcome>>;
 
     /// Reads who reports usage, and the recorded windows. A source without usage reports has neither.
--- a/crates/mh_gateway/src/source/update.rs
+++ b/crates/mh_gateway/src/source/update.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use mh_poison::Fingerprint;
-use mh_types::{DomainName, ServerName, ServiceName, VmName};
+use mh_types::{DomainName, ServerName, ServiceName, VersionName, VmName};
 use mh_usage::DutyRow;
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +27,9 @@
     Quarantine(Fingerprint, Option<StoredQuarantine>),
     /// Who reports usage; `None` if nobody does. Unknown to earlier versions.
     UsageDuty(Option<DutyRow>),
+    /// Versions of a service that were rolled back or replaced, as the record of its shift names them. Unknown to earlier
+    /// versions.
+    RetiredVersions(ServiceName, Vec<VersionName>),
 }
 
 /// Key of an update; a later update of the same subject replaces an earlier one.
@@ -40,6 +43,7 @@
     Vm(VmName),
     Quarantine(Fingerprint),
     UsageDuty,
+    RetiredVersions(ServiceName),
 }
 
 impl Update {
@@ -53,6 +57,7 @@
             Self::Vm(vm, _) => Subject::Vm(vm.clone()),
             Self::Quarantine(fingerprint, _) => Subject::Quarantine(*fingerprint),
             Self::UsageDuty(_) => Subject::UsageDuty,
+            Self::RetiredVersions(service, _) => Subject::RetiredVersions(service.clone()),
         }
     }
 }
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -10,7 +10,7 @@
 use mh_gateway::{AnnouncedVm, Batch, ChangesRead, Feed, ShiftRecord, Source, StoredQuarantine, Update, WriteOutcome};
 use mh_platform::{BoxFuture, PlatformError, Result};
 use mh_poison::Fingerprint;
-use mh_types::{Code, ServerName, ServiceName, StoreVersion, VmName};
+use mh_types::{Code, ServerName, ServiceName, StoreVersion, VersionName, VmName};
 use tokio::sync::watch;
 
 /// Timeout of a call, in addition to the time that it asks the store to wait.
@@ -273,6 +273,7 @@
         &'a self,
         _service: &'a ServiceName,
         _record: &'a ShiftRecord,
+        _retired: &'a [VersionName],
     ) -> BoxFuture<'a, Result<WriteOutcome>> {
         Box::pin(async move { Ok(WriteOutcome::Conflict) })
     }
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -8,7 +8,7 @@
 use mh_config::KeyHash;
 use mh_platform::BoxFuture;
 use mh_poison::Fingerprint;
-use mh_types::{Code, Incarnation, Revision, ServerName, ServiceName, StoreVersion};
+use mh_types::{Code, Incarnation, Revision, ServerName, ServiceName, StoreVersion, VersionName};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -89,6 +89,7 @@
         &'a self,
         _: &'a ServiceName,
         _: &'a ShiftRecord,
+        _: &'a [VersionName],
     ) -> BoxFuture<'a, mh_platform::Result<WriteOutcome>> {
         Box::pin(std::future::ready(Ok(WriteOutcome::Conflict)))
     }
--- a/crates/mh_shift/src/canary.rs
+++ b/crates/mh_shift/src/canary.rs
@@ -11,7 +11,7 @@
 mod verdict;
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use mh_sync::Mutex;
 use mh_types::RouteName;
@@ -30,6 +30,8 @@
 pub struct Canary {
     thresholds: CanaryThresholds,
     credit: AtomicU64,
+    /// Whether a fault was found.
+    is_stopped: AtomicBool,
     routes: Mutex<HashMap<RouteName, VersionAnswers>>,
 }
 
@@ -45,15 +47,20 @@
         Self {
             thresholds,
             credit: AtomicU64::new(0),
+            is_stopped: AtomicBool::new(false),
             routes: Mutex::default(),
         }
     }
 
-    /// Counts a request of the service and returns whether it may go to the new version.
+    /// Counts a request of the service and returns whether it may go to the new version. None may after a fault was found,
+    /// also while the rollback cannot be recorded.
     ///
     /// Each request earns the share as credit, so the limit holds for any interval. At most one request's worth of
     /// credit is carried over.
     pub fn try_take(&self) -> bool {
+        if self.is_stopped.load(Ordering::Relaxed) {
+            return false;
+        }
         let earned = (self.thresholds.share.clamp(0.0, 1.0) * REQUEST_COST as f64) as u64;
         let step = |credit: u64| {
             let credit = (credit + earned).min(2 * REQUEST_COST - 1);
@@ -79,8 +86,16 @@
         side.add(&sample);
     }
 
-    /// Verdict on the evidence so far.
+    /// Verdict on the evidence so far; a fault ends the exposure.
     pub fn verdict(&self) -> Verdict {
+        let verdict = self.evaluate();
+        if verdict.is_fault() {
+            self.is_stopped.store(true, Ordering::Relaxed);
+        }
+        verdict
+    }
+
+    fn evaluate(&self) -> Verdict {
         let routes = self.routes.lock();
         let mut all = VersionAnswers::default();
         for answers in routes.values() {
--- a/crates/mh_shift/tests/canary.rs
+++ b/crates/mh_shift/tests/canary.rs
@@ -47,6 +47,20 @@
     assert_eq!(canary.verdict(), Verdict::Undecided);
 }
 
+/// Guards against further requests to a version whose fault was found, while the store is away and the rollback is not
+/// recorded.
+#[test]
+fn nothing_is_exposed_after_a_fault() {
+    let canary = canary(1.0);
+    assert!(canary.try_take());
+    observe(&canary, "r", 50, good(false));
+    observe(&canary, "r", 10, bad(true, CanaryFault::Error));
+
+    assert!(canary.verdict().is_fault());
+
+    assert!((0..100).all(|_| !canary.try_take()));
+}
+
 /// Guards against missing a version that fails half of its requests.
 #[test]
 fn failing_version_is_detected_after_a_few_answers() {
