--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -3,6 +3,7 @@
 mod planned_drains;
 mod restored;
 mod service_versions;
+mod shifts;
 mod snapshot;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -10,17 +11,16 @@
 use std::time::Duration;
 
 use mh_poison::Fingerprint;
-use mh_shift::Verdict;
 use mh_types::{DomainName, Event, RegionName, ServerName, ServiceName, VmName, emit};
 use mh_usage::DutyRow;
 use tokio::time::Instant;
 
 use super::backend_inputs::BackendInputs;
 use super::known_server::KnownServer;
-use super::shift_controller::{DueRecord, RANK_DELAY, ShiftCanary, ShiftController, next_record};
+use super::shift_controller::ShiftController;
 use crate::{
-    AnnouncedVm, Assignment, Batch, Bounds, Feed, PlacementSettings, Plan, RegisteredServer, ShiftOrder, ShiftPhase,
-    ShiftRecord, StoredQuarantine, Update,
+    AnnouncedVm, Assignment, Batch, Bounds, Feed, PlacementSettings, Plan, RegisteredServer, ShiftOrder, ShiftRecord,
+    StoredQuarantine, Update,
 };
 use planned_drains::PlannedDrains;
 use restored::RestoredState;
@@ -205,53 +205,6 @@
         self.read_feeds.contains(&feed)
     }
 
-    /// Returns the record that is to be written next for a shift; `None` while none is due, or if the shift was ordered
-    /// anew since `canary` was chosen. `verdict` is what its evidence says.
-    pub(super) fn next_shift_record(&self, canary: &ShiftCanary, verdict: Verdict, now: Instant) -> Option<DueRecord> {
-        let service = &canary.service;
-        let order = self.orders.get(service).filter(|order| order.version == canary.order)?;
-        let record = self.records.get(service);
-        let (no_record, clock) = (self.no_record_version()?, self.store_clock(now)?);
-        let due = next_record(order, record, canary.rank, verdict, no_record, clock);
-        let due = due.or_else(|| record.filter(|_| self.is_record_outdated(service)).cloned());
-        due.map(|due| self.with_retired_versions(service, due))
-    }
-
-    /// Returns the stored records that lack retired versions. `rank` is this VM's rank for a service, so that not all VMs
-    /// complete a record at once.
-    pub(super) fn incomplete_records(
-        &self,
-        now: Instant,
-        rank: impl Fn(&ServiceName) -> Option<usize>,
-    ) -> Vec<(ServiceName, DueRecord)> {
-        let Some(clock) = self.store_clock(now) else {
-            return Vec::new();
-        };
-        let incomplete = self.records.iter().filter_map(|(service, record)| {
-            let is_incomplete = self.versions.get(service)?.is_incomplete(record);
-            let rank = rank(service).filter(|_| is_incomplete)?;
-            let due_at = record.started.saturating_add(RANK_DELAY * rank as u32);
-            let due = || self.with_retired_versions(service, record.clone());
-            (clock >= due_at).then(|| (service.clone(), due()))
-        });
-        incomplete.collect()
-    }
-
-    fn with_retired_versions(&self, service: &ServiceName, record: ShiftRecord) -> DueRecord {
-        let before = self.records.get(service).filter(|before| before.to != record.to);
-        let superseded = before
-            .filter(|before| before.phase != ShiftPhase::Done)
-            .map(|before| &before.to);
-        let versions = self.versions.get(service);
-        let retired = versions
-            .map(|versions| versions.retired_by(&record))
-            .unwrap_or_default();
-        DueRecord {
-            retired: retired.into_iter().chain(superseded.cloned()).collect(),
-            record,
-        }
-    }
-
     /// Returns the next time after `now` at which the state changes without an update.
     pub fn next_change(&self, now: Instant) -> Option<Instant> {
         let servers = self.servers.values();
@@ -290,21 +243,7 @@
                 self.drained.retain(|domain| self.restored.is_drain_lost(domain));
                 self.orders.retain(|service, _| self.restored.is_order_lost(service));
             }
-            Feed::Shifts => {
-                let recorded = batch.named(|update| match update {
-                    Update::Shift(service, Some(_)) => Some(service),
-                    _ => None,
-                });
-                let restored = &self.restored;
-                let versions = &mut self.versions;
-                self.records.retain(|service, record| {
-                    let is_kept = recorded.contains(service) || restored.is_record_outdated(service);
-                    if !is_kept {
-                        versions.entry(service.clone()).or_default().on_record_removed(record);
-                    }
-                    is_kept
-                });
-            }
+            Feed::Shifts => self.remove_missing_records(batch),
             Feed::Vms => {
                 let named = batch.named(|update| match update {
                     Update::Vm(vm, Some(_)) => Some(vm),
@@ -401,38 +340,6 @@
         self.plan = Some(Arc::clone(plan));
     }
 
-    fn set_record(&mut self, service: &ServiceName, record: Option<&ShiftRecord>) {
-        let Some(record) = record else {
-            if let Some(removed) = self.records.remove(service) {
-                self.versions
-                    .entry(service.clone())
-                    .or_default()
-                    .on_record_removed(&removed);
-            }
-            return;
-        };
-        emit!(
-            Event::ShiftRecorded,
-            service = service,
-            to = record.to,
-            phase = format_args!("{:?}", record.phase)
-        );
-        let record = self.merge_record(service, record);
-        let versions = self.versions.entry(service.clone()).or_default();
-        versions.on_record(&record, self.records.get(service));
-        self.records.insert(service.clone(), record);
-    }
-
-    /// Follows the retired versions that the records in `batch` name.
-    fn set_retired_versions(&mut self, batch: &Batch) {
-        for update in &batch.updates {
-            if let Update::RetiredVersions(service, retired) = update {
-                let versions = self.versions.entry(service.clone()).or_default();
-                versions.on_retired(retired, batch.version.era, self.records.get(service));
-            }
-        }
-    }
-
     fn set_server(&mut self, name: &ServerName, entry: &RegisteredServer, now: Instant) {
         if let Some(known) = self.servers.get_mut(name)
             && known.entry.run == entry.run
--- a/crates/mh_gateway/tests/unit/service_versions.rs
+++ b/crates/mh_gateway/tests/unit/service_versions.rs
@@ -1,5 +1,7 @@
 //! Retired versions that the stored record lacks.
 
+use std::collections::BTreeMap;
+
 use mh_types::{ServiceName, StoreVersion};
 
 use super::super::DeploymentState;
@@ -39,7 +41,7 @@
 #[test]
 fn a_record_of_an_earlier_release_is_completed_by_one_vm_after_the_other() {
     let now = Instant::now();
-    let mut deployment = DeploymentState::new("north".into(), Default::default(), Bounds::default());
+    let mut deployment = DeploymentState::new("north".into(), BTreeMap::default(), Bounds::default());
     apply(
         &mut deployment,
         6,
--- a/crates/mh_sync/tests/nesting.rs
+++ b/crates/mh_sync/tests/nesting.rs
@@ -46,7 +46,7 @@
         scope
             .spawn(|| *b.lock() += 1)
             .join()
-            .expect("the other thread holds nothing")
+            .expect("the other thread holds nothing");
     });
     drop(held);
     assert!(is_refused(|| {
