Admit by deadline, work ahead and priority alone

What its constants answered, and what became of it:

- is_ahead with MAX_SERVED_LEAD (0.025) held back a kind that was served more often than a more urgent one: the price for a difference of 5 in 100.
Removed, with the counting of served requests.
- Late, and refused, was what would be answered after the latency target (the aim), from a tenth of it.
Now a request is pressed if it waits for more than half of the time that its caller can wait until the deadline, and less urgent ones that have to wait give way to pressed ones.
- RETURNED_AFTER, `waited` and counting by first tries told callers that return from others and let them pass.
Removed: attempts count alike, the time that is left is all that matters.
- WorkTimes began with half of the latency target.
The work of a route is now unknown until its first answers.
- At a request's next server, admission now applies unless it may have run, when its caller could not be told to send it again.

The higher cost of second choices follows whether requests wait, not whether they are late.

--- a/crates/mh_gateway/src/control/deployment_state/live.rs
+++ b/crates/mh_gateway/src/control/deployment_state/live.rs
@@ -27,7 +27,6 @@
             routes.entry(service).or_default().push(AdmissionRoute {
                 name: route.name.clone(),
                 priority: route.priority,
-                target: route.latency_target,
             });
         }
     }
@@ -101,7 +100,7 @@
             .collect();
         let work_times = plan.routes().map(|route| {
             let kept = previous.work_times.get(&route.name).map(Arc::clone);
-            let times = kept.unwrap_or_else(|| Arc::new(WorkTimes::new(route.latency_target)));
+            let times = kept.unwrap_or_else(|| Arc::new(WorkTimes::default()));
             (route.name.clone(), times)
         });
         let work_times = work_times.collect();
--- a/crates/mh_gateway/src/request/admission_gate.rs
+++ b/crates/mh_gateway/src/request/admission_gate.rs
@@ -2,10 +2,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mh_edge::Refusal;
 use mh_route::admission::{Admission, AdmissionRequest, RankIndex};
 use mh_route::objects::{Placement, PlacementError};
-use mh_types::{Code, OrgName, RouteName};
+use mh_types::{OrgName, RouteName};
 use siphasher::sip::SipHasher13;
 use tokio::time::Instant;
 
@@ -17,8 +16,6 @@
     admission: Arc<Admission>,
     rank: RankIndex,
     org: u64,
-    /// Time for which the caller had waited when the request arrived.
-    waited: Duration,
 }
 
 impl AdmissionGate {
@@ -29,18 +26,12 @@
             // Requests without an organisation are the least urgent.
             rank: admission.rank(route, org.map_or(u32::MAX, |org| org.priority))?,
             org: org.map_or(0, |org| org_hash(&org.name)),
-            waited: Duration::ZERO,
         })
     }
 
-    /// Sets the time for which the caller had waited when the request arrived.
-    pub(super) fn set_waited(&mut self, waited: Duration) {
-        self.waited = waited;
-    }
-
-    /// Returns whether servers are short.
-    pub(super) fn is_short(&self) -> bool {
-        self.admission.is_short(Instant::now())
+    /// Returns whether requests have to wait for servers.
+    pub(super) fn is_busy(&self) -> bool {
+        self.admission.is_busy(Instant::now())
     }
 
     /// Decides about a placed request; the error is the time after which to return.
@@ -66,22 +57,10 @@
         }
     }
 
-    /// Records the result of the request, unless it says nothing about capacity.
-    pub(super) fn on_result(&self, refusal: Option<&Refusal>, remaining: Duration) {
-        let is_served = match refusal.map(Refusal::code) {
-            None => true,
-            Some(Code::NoCapacity | Code::AnswerTimeout | Code::DeadlinePassed) => false,
-            Some(_) => return,
-        };
-        self.admission
-            .on_result(Instant::now(), &self.request(remaining), is_served);
-    }
-
     fn request(&self, remaining: Duration) -> AdmissionRequest {
         AdmissionRequest {
             rank: self.rank,
             org: self.org,
-            waited: self.waited,
             remaining,
         }
     }
--- a/crates/mh_gateway/src/request/exchange.rs
+++ b/crates/mh_gateway/src/request/exchange.rs
@@ -388,8 +388,10 @@
         Outcome::Answered { status: 504, .. } | Outcome::TimedOut => (Some(CanaryFault::TimedOut), None),
         Outcome::Answered { status, .. } if status >= 500 => (Some(CanaryFault::Error), None),
         Outcome::Answered { latency, .. } => {
+            // Before the first answers of a route nothing says how long its work takes.
+            let is_forecast = !placement.work().is_zero();
             let forecast = placement.forecast().as_secs_f64().max(0.001);
-            (None, Some(latency.as_secs_f64() / forecast))
+            (None, is_forecast.then(|| latency.as_secs_f64() / forecast))
         }
         Outcome::Failed => (Some(CanaryFault::Error), None),
         Outcome::Shed | Outcome::Closing | Outcome::Cancelled => return,
--- a/crates/mh_gateway/src/request/forward.rs
+++ b/crates/mh_gateway/src/request/forward.rs
@@ -50,20 +50,6 @@
     head: &Parts,
     body: &mut Body,
     counters: &Counters,
-) -> Result<Response<ResponseBody>, Refusal> {
-    let result = try_servers(cx, live, head, body, counters).await;
-    if let Some(admission) = &cx.admission {
-        admission.on_result(result.as_ref().err(), cx.remaining());
-    }
-    result
-}
-
-async fn try_servers(
-    cx: &mut RequestContext,
-    live: &ArcSwap<LiveState>,
-    head: &Parts,
-    body: &mut Body,
-    counters: &Counters,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut history = AttemptHistory::default();
     cx.backends.retries.on_request();
@@ -143,15 +129,16 @@
     allowed && (history.sent == 0 || cx.backends.retries.try_retry(Instant::now(), true))
 }
 
-/// Chooses the next server; a request that was sent to none yet may be refused for more urgent ones. The error is `None`
-/// if no time remains.
+/// Chooses the next server; a request may be refused for more urgent ones unless it may have run, since its caller could
+/// then not be told to send it again. The error is `None` if no time remains.
 fn choose_admitted_server(
     cx: &RequestContext,
     history: &AttemptHistory,
     counters: &Counters,
 ) -> Result<Placement, Option<PlacementError>> {
     let chosen = choose_server(cx, history);
-    let Some(admission) = cx.admission.as_ref().filter(|_| history.tried.is_empty()) else {
+    let may_have_run = history.may_have_run || history.answer.is_some();
+    let Some(admission) = cx.admission.as_ref().filter(|_| !may_have_run) else {
         return chosen;
     };
     let left = cx.remaining();
@@ -191,7 +178,7 @@
         versions: VersionFilter::Any,
         exclude: &excluded,
         pack: false,
-        is_short: cx.admission.as_ref().is_some_and(AdmissionGate::is_short),
+        is_busy: cx.admission.as_ref().is_some_and(AdmissionGate::is_busy),
         work_times: &cx.work_times,
     };
     let place = |versions| {
--- a/crates/mh_gateway/src/request/gateway.rs
+++ b/crates/mh_gateway/src/request/gateway.rs
@@ -357,9 +357,6 @@
         let deadline = caller_deadline(&parts.headers, &self.headers, arrived, &route)?;
         let mut cx = self.build_context(&live, plan, route, org, id, arrived)?;
         cx.deadline = deadline;
-        if let Some(admission) = &mut cx.admission {
-            admission.set_waited(cx.route_deadline.saturating_duration_since(deadline));
-        }
         // Another VM can serve the request whole.
         if self
             .exits_at
--- a/crates/mh_route/src/admission/decayed_share.rs
+++ b/crates/mh_route/src/admission/decayed_share.rs
@@ -26,23 +26,12 @@
 
     /// Records one sample.
     pub(super) fn record(&self, now: Micros, is_hit: bool) {
-        self.add(now, true, is_hit);
-    }
-
-    /// Records a sample, a hit, or both. A request that is repeated is one sample, of which a later attempt may be the hit.
-    pub(super) fn add(&self, now: Micros, is_sample: bool, is_hit: bool) {
         let factor = self.factor(now);
-        let one = |is: bool| if is { 1.0 } else { 0.0 };
-        self.samples.set(self.samples.get() * factor + one(is_sample));
-        self.hits.set(self.hits.get() * factor + one(is_hit));
+        self.samples.set(self.samples.get() * factor + 1.0);
+        self.hits.set(self.hits.get() * factor + if is_hit { 1.0 } else { 0.0 });
         self.at.fetch_max(now, Ordering::Relaxed);
     }
 
-    /// Weight of all samples.
-    pub(super) fn weight(&self, now: Micros) -> f64 {
-        self.samples.get() * self.factor(now)
-    }
-
     /// Share of hits, with `prior` samples that are none.
     pub(super) fn share(&self, now: Micros, prior: f64) -> f64 {
         let factor = self.factor(now);
--- a/crates/mh_route/src/admission/mod.rs
+++ b/crates/mh_route/src/admission/mod.rs
@@ -1,8 +1,8 @@
 //! Admission of requests to a service whose servers are short, in order of urgency.
 //!
-//! [`Admission`] measures which requests would be answered late because they wait for a server. While more urgent
-//! requests are late, less urgent ones that would join a queue and be late themselves are refused at once with the time
-//! after which to return. Without a measured shortage nothing is refused. It reads no clock and does no I/O.
+//! [`Admission`] measures which requests use up the time of their callers by waiting for a server. While more urgent
+//! requests do, less urgent ones that would join a queue are refused at once with the time after which the work ahead of
+//! them is done. Without a measured shortage nothing is refused. It reads no clock and does no I/O.
 //!
 //! ```
 //! use std::time::Duration;
@@ -14,13 +14,11 @@
 //! let route = |name: &str, priority| AdmissionRoute {
 //!     name: name.into(),
 //!     priority,
-//!     target: Duration::from_millis(400),
 //! };
 //! let admission = Admission::new(vec![route("reads", 2), route("holds", 1)], vec![0], now).expect("priorities differ");
 //! let request = AdmissionRequest {
 //!     rank: admission.rank(&"reads".into(), 0).expect("the route is known"),
 //!     org: 0,
-//!     waited: Duration::ZERO,
 //!     remaining: Duration::from_secs(3),
 //! };
 //! let wait = Duration::from_millis(300);
@@ -28,6 +26,7 @@
 //! ```
 
 mod admitted;
+mod condition;
 mod decayed_share;
 mod request;
 mod return_schedule;
--- a/crates/mh_route/src/admission/return_schedule.rs
+++ b/crates/mh_route/src/admission/return_schedule.rs
@@ -10,7 +10,8 @@
 /// Shortest time after which a caller is asked to return: several round trips.
 const MIN_WAIT_US: Micros = 50_000;
 
-/// Part of the caller's remaining time that it may be asked to wait; the gateway limits `Retry-After` to it as well.
+/// Part of the caller's remaining time that it may be asked to wait. Callers honour up to a third of the time that is left
+/// when the answer reaches them; the gateway limits `Retry-After` to the same part.
 const MAX_REMAINING_FRACTION: f64 = 0.3;
 
 /// Times at which refused callers of one rank are asked to return, one after the other.
--- a/crates/mh_route/src/admission/view.rs
+++ b/crates/mh_route/src/admission/view.rs
@@ -21,10 +21,8 @@
     pub org_priority: u32,
     /// Priority of the route.
     pub priority: u32,
-    /// Share of late requests in the last seconds.
-    pub late: f64,
+    /// Share of requests that were pressed for time in the last seconds.
+    pub pressed: f64,
     /// Share of admitted requests.
     pub admitted: f64,
-    /// Share of the route's requests that were served.
-    pub served: f64,
 }
--- a/crates/mh_route/src/objects/mod.rs
+++ b/crates/mh_route/src/objects/mod.rs
@@ -29,7 +29,7 @@
 //!     connections: 330,
 //! };
 //! let pool = ObjectPool::new(&[ListedServer::serving(spec)], None, 0.0, 1, &RegionDistribution::default(), now);
-//! let work = Arc::new(WorkTimes::new(Duration::from_millis(400)));
+//! let work = Arc::new(WorkTimes::new(Duration::from_millis(200), Duration::from_millis(600)));
 //!
 //! let request = ObjectRequest::new(Some(17), Duration::from_secs(1), &work);
 //! let placement = pool.place(now, &request, 7).expect("the server is idle");
--- a/crates/mh_route/src/objects/placement.rs
+++ b/crates/mh_route/src/objects/placement.rs
@@ -129,7 +129,7 @@
     fn usual_work_us(&self, observed_us: u64, expected_us: u64) -> u64 {
         let at_answer = self.speed_at_answer.load(Ordering::Relaxed);
         let at_answer = (at_answer > 0).then(|| f64::from(at_answer) / 100.0);
-        if at_answer.is_none() && self.speed_at_start.is_none() {
+        if expected_us == 0 || (at_answer.is_none() && self.speed_at_start.is_none()) {
             return observed_us;
         }
         let (start, answer) = (self.speed_at_start.unwrap_or(1.0), at_answer.unwrap_or(1.0));
--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -28,9 +28,9 @@
 /// evicts another object.
 const MISS_COST_FACTOR: f64 = 1.2;
 
-/// The same factor at a server whose slots are all busy while servers are short: the extra work also delays the requests
-/// that wait. It rises with the square of the occupancy. With the plain factor, objects spread over two servers each and a
-/// simulated service collapsed from 0.92 to 0.48 of the value at 1.3 times its rate.
+/// The same factor at a server whose slots are all busy while requests wait: the extra work also delays those. It rises
+/// with the square of the occupancy. With the plain factor, objects spread over two servers each, and most of the work
+/// takes several times as long just when servers are short.
 const BUSY_MISS_COST_FACTOR: f64 = 4.0;
 
 /// Occupancy (requests for each slot) from which that factor rises no more.
@@ -323,7 +323,7 @@
         // therefore refused only if even a server that holds the object would answer too late.
         let finish = wait + work_with_object / slowness.max(1.0) + round_trip;
         let work_with_object_at_start = work_with_object * speed_at_start;
-        let miss_cost_factor = if request.is_short {
+        let miss_cost_factor = if request.is_busy {
             let occupancy = (in_flight / slots).min(MAX_OCCUPANCY);
             MISS_COST_FACTOR + (BUSY_MISS_COST_FACTOR - MISS_COST_FACTOR) * occupancy * occupancy
         } else {
--- a/crates/mh_route/src/objects/server_stats.rs
+++ b/crates/mh_route/src/objects/server_stats.rs
@@ -113,8 +113,8 @@
         self.error_rate.set(rate + (sample - rate) / ERROR_WEIGHT_DIVISOR);
         let slowness = self.slowness(now);
         // Errors are often faster than successful responses and say nothing about the speed.
-        if !is_error {
-            let ratio = (observed_us / expected_us.max(1.0)).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        if !is_error && expected_us > 0.0 {
+            let ratio = (observed_us / expected_us).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
             self.slowness
                 .set(slowness + (ratio - slowness) / SLOWNESS_WEIGHT_DIVISOR);
         }
--- a/crates/mh_route/src/objects/work_times.rs
+++ b/crates/mh_route/src/objects/work_times.rs
@@ -8,21 +8,20 @@
 
 /// Measured work times of one route, at servers that hold the object and at servers that do not.
 ///
-/// Before the first responses they are estimated from the route's latency target, which operators set between the two.
-#[derive(Debug)]
+/// Before the first responses they are unknown, and no request is predicted to wait or to be late.
+#[derive(Debug, Default)]
 pub struct WorkTimes {
-    // All in microseconds.
+    // All in microseconds; 0 while unknown.
     with_object_us: AtomicU64,
     without_object_us: AtomicU64,
 }
 
 impl WorkTimes {
-    /// Creates the initial estimates for a route with the latency target `target`.
-    pub fn new(target: Duration) -> Self {
-        let target = micros(target).max(1);
+    /// Creates work times that are known beforehand, with and without the object.
+    pub fn new(with_object: Duration, without_object: Duration) -> Self {
         Self {
-            with_object_us: AtomicU64::new(target / 2),
-            without_object_us: AtomicU64::new(target * 3 / 2),
+            with_object_us: AtomicU64::new(micros(with_object)),
+            without_object_us: AtomicU64::new(micros(without_object)),
         }
     }
 
@@ -33,10 +32,11 @@
 
     pub(crate) fn expected_us(&self, holds_object: bool) -> u64 {
         let with_object_us = self.with_object_us.load(Ordering::Relaxed);
-        if holds_object {
+        let without_object_us = self.without_object_us.load(Ordering::Relaxed);
+        if holds_object && with_object_us > 0 {
             with_object_us
         } else {
-            self.without_object_us.load(Ordering::Relaxed).max(with_object_us)
+            without_object_us.max(with_object_us)
         }
     }
 
@@ -46,10 +46,10 @@
         } else {
             &self.without_object_us
         };
-        let old = mean.load(Ordering::Relaxed);
-        mean.store(
-            ((WEIGHT_DIVISOR - 1) * old + sample_us) / WEIGHT_DIVISOR,
-            Ordering::Relaxed,
-        );
+        let next = match mean.load(Ordering::Relaxed) {
+            0 => sample_us,
+            old => ((WEIGHT_DIVISOR - 1) * old + sample_us) / WEIGHT_DIVISOR,
+        };
+        mean.store(next.max(1), Ordering::Relaxed);
     }
 }
