Write the log of `mangohook run` from a thread of its own

A VM of `mangohook run` wrote each line to standard error from the thread that logged it, some of them under a lock. While nobody read the pipe, all threads of the runtime came to wait.

The bounded queue of gateway VMs moves to a crate of its own, mh_log, and serves both commands.

--- a/crates/mh_gateway/src/node/metrics.rs
+++ b/crates/mh_gateway/src/node/metrics.rs
@@ -4,12 +4,12 @@
 
 use mh_admin::{Metric, Metrics};
 use mh_edge::PipelineLoad;
+use mh_log::lines_dropped;
 use mh_route::objects::assignment::MoveTotals;
 
 use super::GatewayNode;
 use crate::Feed;
 use crate::control::UsageView;
-use crate::logging::lines_dropped;
 use crate::request::Counters;
 use tokio::time::Instant;
 
--- a/crates/mh_gateway/src/logging/line_limit.rs
+++ b/crates/mh_log/src/line_limit.rs
@@ -8,6 +8,14 @@
     pub all_per_s: u32,
 }
 
+impl LineLimit {
+    /// No limit but the size of the queue.
+    pub const NONE: Self = Self {
+        info_per_s: u32::MAX,
+        all_per_s: u32::MAX,
+    };
+}
+
 impl Default for LineLimit {
     /// About two lines per request for a small VM under peak load. At about 10 microseconds per line, this bounds the
     /// CPU time of logging.
--- a/crates/mh_gateway/src/logging/queue.rs
+++ b/crates/mh_log/src/queue.rs
@@ -9,12 +9,12 @@
 use siphasher::sip::SipHasher13;
 use tokio::time::Instant;
 
-use super::LineLimit;
+use crate::LineLimit;
 
-/// Capacity of the queue in lines. While standard output is blocked, further lines are dropped.
+/// Capacity of the queue in lines. While the output is blocked, further lines are dropped.
 const QUEUE_LINES: usize = 512;
 
-/// Time between two writes to standard output. Writing many lines at once takes one system call.
+/// Time between two writes to the output. Writing many lines at once takes one system call.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Message to the writer thread.
@@ -25,9 +25,9 @@
     Flush(SyncSender<()>),
 }
 
-/// Bounded queue of log lines in front of standard output.
+/// Bounded queue of log lines in front of the output.
 #[derive(Debug)]
-pub(super) struct LineQueue {
+pub(crate) struct LineQueue {
     limit: LineLimit,
     lines: SyncSender<Entry>,
     started: Instant,
@@ -55,13 +55,13 @@
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Returns the number of lines dropped since the process started.
-pub(crate) fn lines_dropped() -> u64 {
+pub fn lines_dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
 
 impl LineQueue {
     /// Starts the thread that writes to `out`.
-    pub(super) fn start(limit: LineLimit, out: impl Write + Send + 'static) -> Self {
+    pub(crate) fn start(limit: LineLimit, out: impl Write + Send + 'static) -> Self {
         let (lines, queue) = sync_channel(QUEUE_LINES);
         // If the thread fails to start, the queue has no reader; lines are then dropped and counted.
         let _ = std::thread::Builder::new()
@@ -82,7 +82,7 @@
 
     /// Queues a line. Above the limit, requests are sampled by id, so that either all lines of a request are written
     /// or none. Lines about failures take precedence over all others.
-    pub(super) fn push(&self, line: String, level: Level) {
+    pub(crate) fn push(&self, line: String, level: Level) {
         self.roll_over_second();
         let is_sampling_candidate = level >= Level::Info && !is_failure(&line);
         let is_sampled_out = if is_sampling_candidate {
@@ -100,10 +100,10 @@
     }
 
     /// Waits up to `limit` until the lines queued so far are written; called before the process exits.
-    pub(super) fn flush(&self, limit: Duration) {
+    pub(crate) fn flush(&self, limit: Duration) {
         let (done, written) = sync_channel(1);
         if self.lines.try_send(Entry::Flush(done)).is_ok() {
-            // If standard output is blocked, the lines are lost.
+            // If the output is blocked, the lines are lost.
             let _ = written.recv_timeout(limit);
         }
     }
@@ -184,7 +184,7 @@
                 Entry::Flush(done) => flush_requests.push(done),
             }
         }
-        // If standard output is closed, the lines are lost and the process continues.
+        // If the output is closed, the lines are lost and the process continues.
         let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
         for done in flush_requests {
             // The requester may have stopped waiting.
@@ -194,5 +194,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/line_queue.rs"]
+#[path = "../tests/unit/line_queue.rs"]
 mod tests;
--- a/crates/mh_node/src/lib.rs
+++ b/crates/mh_node/src/lib.rs
@@ -25,7 +25,6 @@
 mod lending;
 mod limit_settings;
 mod local_settings;
-mod logging;
 mod node;
 mod peer_handler;
 mod peers;
@@ -40,7 +39,6 @@
 
 pub use exit::Exit;
 pub use limit_settings::LimitSettings;
-pub use logging::init_logging;
 pub use node::Node;
 pub use shutdown::run_until_signal;
 pub use vm_settings::{FreshnessPolicy, Listen, PlatformSettings, ShutdownSettings, VmSettings};
--- a/src/bin/mangohook/gateway.rs
+++ b/src/bin/mangohook/gateway.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 
 use mangohook_platform::Deployment;
-use mh_gateway::{GatewayNode, LineLimit, StopOutcome, flush_logging, init_logging, run_until_signal};
+use mh_gateway::{GatewayNode, StopOutcome, run_until_signal};
+use mh_log::{LineLimit, flush_logging, init_logging};
 use mh_node::Exit;
 use mh_types::{Event, emit};
 
@@ -17,7 +18,7 @@
 
 /// Serves until SIGTERM.
 pub(crate) fn run(path: &Path, deployment: Deployment) -> Exit {
-    if let Err(e) = init_logging(deployment.settings.log, LineLimit::default()) {
+    if let Err(e) = init_logging(deployment.settings.log, LineLimit::default(), std::io::stdout()) {
         eprintln!("{e}");
         return Exit::StartFailed;
     }
--- a/src/bin/mangohook/main.rs
+++ b/src/bin/mangohook/main.rs
@@ -6,7 +6,8 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use mh_node::{Exit, Node, VmSettings, init_logging, run_until_signal};
+use mh_log::{LineLimit, flush_logging, init_logging};
+use mh_node::{Exit, Node, VmSettings, run_until_signal};
 
 /// Steers callers' requests to backend servers.
 #[derive(Debug, Parser)]
@@ -64,7 +65,7 @@
 }
 
 fn run(settings: VmSettings) -> Exit {
-    if let Err(e) = init_logging(settings.log) {
+    if let Err(e) = init_logging(settings.log, LineLimit::NONE, std::io::stderr()) {
         eprintln!("{e}");
         return Exit::StartFailed;
     }
@@ -79,7 +80,7 @@
             return Exit::StartFailed;
         }
     };
-    runtime.block_on(async {
+    let exit = runtime.block_on(async {
         match Node::start(settings).await {
             Ok((node, server)) => run_until_signal(node, server).await,
             Err((code, detail)) => {
@@ -87,5 +88,7 @@
                 Exit::StartFailed
             }
         }
-    })
+    });
+    flush_logging();
+    exit
 }
