Reset connections to servers that are given up

Cause: closing a connection leaves its unsent bytes with the operating system, which delivers them when the path is back.

Change: connections to servers and tunnels have a linger time of zero, so that a close drops what has not left this VM.

--- a/crates/mh_edge/src/dial.rs
+++ b/crates/mh_edge/src/dial.rs
@@ -71,11 +71,15 @@
 
 /// Connects to the backend server, or the VM that opens a tunnel, at `addr`.
 ///
+/// Closing the connection resets it: bytes that have not left this machine, because a partition holds them up, are lost.
+/// Otherwise a request whose caller got its final answer long ago would run when the partition has ended.
+///
 /// # Errors
 ///
 /// Those of the connect.
 pub async fn connect_to_server(addr: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(addr).await?;
     set_options(&stream)?;
+    stream.set_zero_linger()?;
     Ok(stream)
 }
