Let VMs complete records of an earlier release one after the other

The delay by rank ran from the start of the shift, so that at an upgrade every VM would have written an old record at once. It runs from when the VM notices what the record lacks.

Evidence: read, not seen.

--- a/crates/mh_gateway/src/control/deployment_state/service_versions.rs
+++ b/crates/mh_gateway/src/control/deployment_state/service_versions.rs
@@ -37,6 +37,8 @@
     stored: BTreeSet<VersionName>,
     /// Era of the store of the last record that named retired versions.
     era: u64,
+    /// When this VM noticed that the stored record lacks retired versions.
+    incomplete_since: Option<Instant>,
 }
 
 impl ServiceVersions {
@@ -111,11 +113,16 @@
         &self.retired
     }
 
-    /// Returns whether the stored record lacks retired versions that this VM knows of: a VM of an earlier release has
-    /// written it, or the store was restored.
-    pub(super) fn is_incomplete(&self, record: &ShiftRecord) -> bool {
+    /// Returns for how long the stored record has lacked retired versions that this VM knows of; `None` if it names all. A
+    /// VM of an earlier release has written it, or the store was restored.
+    pub(super) fn incomplete_for(&mut self, record: &ShiftRecord, now: Instant) -> Option<Duration> {
         let mut others = self.retired.iter().filter(|version| **version != record.to);
-        others.any(|version| !self.stored.contains(version))
+        if others.all(|version| self.stored.contains(version)) {
+            self.incomplete_since = None;
+            return None;
+        }
+        let since = *self.incomplete_since.get_or_insert(now);
+        Some(now.saturating_duration_since(since))
     }
 
     /// Returns the versions that are retired once `record` is stored.
--- a/crates/mh_gateway/src/control/deployment_state/shifts.rs
+++ b/crates/mh_gateway/src/control/deployment_state/shifts.rs
@@ -29,21 +29,26 @@
     /// Returns the stored records that lack retired versions. `rank` is this VM's rank for a service, so that not all VMs
     /// complete a record at once.
     pub(in crate::control) fn incomplete_records(
-        &self,
+        &mut self,
         now: Instant,
         rank: impl Fn(&ServiceName) -> Option<usize>,
     ) -> Vec<(ServiceName, DueRecord)> {
-        let Some(clock) = self.store_clock(now) else {
-            return Vec::new();
-        };
-        let incomplete = self.records.iter().filter_map(|(service, record)| {
-            let is_incomplete = self.versions.get(service)?.is_incomplete(record);
-            let rank = rank(service).filter(|_| is_incomplete)?;
-            let due_at = record.started.saturating_add(RANK_DELAY * rank as u32);
-            let due = || self.with_retired_versions(service, record.clone());
-            (clock >= due_at).then(|| (service.clone(), due()))
+        let versions = &mut self.versions;
+        let due = self.records.iter().filter(|(service, record)| {
+            let incomplete_for = versions
+                .get_mut(*service)
+                .and_then(|versions| versions.incomplete_for(record, now));
+            let (Some(incomplete_for), Some(rank)) = (incomplete_for, rank(service)) else {
+                return false;
+            };
+            incomplete_for >= RANK_DELAY * rank as u32
+        });
+        let due: Vec<_> = due.map(|(service, record)| (service.clone(), record.clone())).collect();
+        let completed = due.into_iter().map(|(service, record)| {
+            let record = self.with_retired_versions(&service, record);
+            (service, record)
         });
-        incomplete.collect()
+        completed.collect()
     }
 
     fn with_retired_versions(&self, service: &ServiceName, record: ShiftRecord) -> DueRecord {
@@ -52,11 +57,12 @@
             .filter(|before| before.phase != ShiftPhase::Done)
             .map(|before| &before.to);
         let versions = self.versions.get(service);
-        let retired = versions
+        let mut retired = versions
             .map(|versions| versions.retired_by(&record))
             .unwrap_or_default();
+        retired.extend(superseded.cloned());
         DueRecord {
-            retired: retired.into_iter().chain(superseded.cloned()).collect(),
+            retired: retired.into_iter().collect(),
             record,
         }
     }
--- a/crates/mh_gateway/tests/unit/service_versions.rs
+++ b/crates/mh_gateway/tests/unit/service_versions.rs
@@ -50,7 +50,7 @@
     );
     let written = record("v3", 10, ShiftPhase::Exposing);
     apply(&mut deployment, 10, vec![shift(written.clone())], now);
-    let incomplete = |rank: usize, at: Instant| deployment.incomplete_records(at, |_: &ServiceName| Some(rank));
+    let mut incomplete = |rank: usize, at: Instant| deployment.incomplete_records(at, |_: &ServiceName| Some(rank));
 
     let due = incomplete(0, now);
 
@@ -73,6 +73,28 @@
     assert!(deployment.incomplete_records(now + SECOND * 60, |_| Some(0)).is_empty());
 }
 
+/// Guards against all VMs writing at once that notice an old record of an earlier release at the same time, as at an upgrade.
+#[test]
+fn an_old_record_is_not_completed_by_all_vms_at_once() {
+    let now = Instant::now();
+    let mut deployment = DeploymentState::new("north".into(), BTreeMap::default(), Bounds::default());
+    apply(
+        &mut deployment,
+        6,
+        vec![shift(record("v2", 5, ShiftPhase::TakenBack))],
+        now,
+    );
+    apply(
+        &mut deployment,
+        100,
+        vec![shift(record("v3", 10, ShiftPhase::Exposing))],
+        now,
+    );
+
+    assert!(deployment.incomplete_records(now, |_| Some(1)).is_empty());
+    assert_eq!(deployment.incomplete_records(now, |_| Some(0)).len(), 1);
+}
+
 /// Guards against a record that retires the version it is about, or leaves one out that was replaced.
 #[test]
 fn each_record_names_the_versions_that_are_over_with_it() {
