--- a/crates/mh_edge/tests/abandoned.rs
+++ b/crates/mh_edge/tests/abandoned.rs
@@ -15,10 +15,11 @@
     let stream = connect_to_server(addr).await.expect("the listener accepts");
     let (mut server, _) = listener.accept().await.expect("a connection");
     // The server reads nothing, so that some bytes stay on this side, like those in front of a partition.
+    let chunk = vec![b'x'; 64 * 1024];
     let mut written = 0;
     stream.writable().await.expect("an open connection");
     loop {
-        match stream.try_write(&[b'x'; 64 * 1024]) {
+        match stream.try_write(&chunk) {
             Ok(len) => written += len,
             Err(e) if e.kind() == ErrorKind::WouldBlock => break,
             Err(e) => panic!("{e}"),
--- a/crates/mh_gateway/src/plan/host_route.rs
+++ b/crates/mh_gateway/src/plan/host_route.rs
@@ -19,7 +19,7 @@
     pub kind: RequestKind,
     /// Longest time for which a caller waits for the response.
     pub timeout: Duration,
-    /// Target latency: a response within this time has its full value.
+    /// Latency that operators aim at; no decision depends on it.
     pub latency_target: Duration,
     /// Largest number of servers that one request is sent to.
     pub max_attempts: u32,
--- a/crates/mh_gateway/tests/versions.rs
+++ b/crates/mh_gateway/tests/versions.rs
@@ -7,7 +7,7 @@
 
 use fixtures::{SERVICE, at, batch, listed, order, removed, server, state_with, usable};
 use mh_gateway::{DeploymentState, Feed, LiveState, RegisteredServer, ShiftPhase, ShiftRecord, Update};
-use mh_types::VersionName;
+use mh_types::{ServerName, StoreVersion, VersionName};
 use tokio::time::Instant;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -68,6 +68,11 @@
     apply(deployment, Feed::Settings, 10, vec![order("v3", 10)], now);
 }
 
+/// The servers of v1 and v3.
+fn old_and_next() -> [ServerName; 4] {
+    ["a1", "a2", "c1", "c2"].map(ServerName::from)
+}
+
 /// Guards against requests to a version that was rolled back once the next one is ordered: 466 to 487 of 2,990 requests
 /// went to its servers until they had drained, and a third of them failed.
 #[test]
@@ -78,8 +83,7 @@
 
     order_next(&mut deployment, now);
 
-    let expected = ["a1".into(), "a2".into(), "c1".into(), "c2".into()];
-    assert_eq!(usable(&mut deployment, now), expected);
+    assert_eq!(usable(&mut deployment, now), old_and_next());
     for (phase, version) in [
         (ShiftPhase::Exposing, 11),
         (ShiftPhase::Switching, 12),
@@ -142,8 +146,7 @@
     ];
     apply(&mut deployment, Feed::Servers, 11, joining, now);
 
-    let expected = ["a1".into(), "a2".into(), "c1".into(), "c2".into()];
-    assert_eq!(usable(&mut deployment, now + SECOND * 60), expected);
+    assert_eq!(usable(&mut deployment, now + SECOND * 60), old_and_next());
 }
 
 /// Guards against a version that was rolled back being used while the store is away, or because the others' entries
@@ -277,8 +280,7 @@
         );
         started.apply(Feed::Shifts, &batch(20, shifts), true, now);
 
-        let expected = ["a1".into(), "a2".into(), "c1".into(), "c2".into()];
-        assert_eq!(usable(&mut started, now + SECOND * 60), expected);
+        assert_eq!(usable(&mut started, now + SECOND * 60), old_and_next());
     }
 }
 
@@ -330,8 +332,7 @@
     let whole = batch(12, vec![record("v3", 10, ShiftPhase::Switching, 12)]);
     deployment.apply(Feed::Shifts, &whole, true, now);
 
-    let expected = ["a1".into(), "a2".into(), "c1".into(), "c2".into()];
-    assert_eq!(usable(&mut deployment, now + SECOND * 60), expected);
+    assert_eq!(usable(&mut deployment, now + SECOND * 60), old_and_next());
 }
 
 /// Guards against a store restored from a copy from before a rollback that makes the VMs use the version again.
@@ -349,9 +350,8 @@
     );
 
     let mut restored = batch(6, vec![record("v2", 6, ShiftPhase::Exposing, 6), retired(&["v0"])]);
-    restored.version = mh_types::StoreVersion::new(1, 6);
+    restored.version = StoreVersion::new(1, 6);
     deployment.apply(Feed::Shifts, &restored, true, now);
 
-    let expected = ["a1".into(), "a2".into(), "c1".into(), "c2".into()];
-    assert_eq!(usable(&mut deployment, now + SECOND * 60), expected);
+    assert_eq!(usable(&mut deployment, now + SECOND * 60), old_and_next());
 }
