--- a/crates/mh_sync/src/held.rs
+++ b/crates/mh_sync/src/held.rs
@@ -30,11 +30,7 @@
     #[track_caller]
     #[cfg_attr(
         not(debug_assertions),
-        expect(
-            unused_variables,
-            clippy::needless_pass_by_value,
-            reason = "only checked builds use the level"
-        )
+        expect(unused_variables, reason = "only checked builds use it")
     )]
     pub(crate) fn acquire(level: Level) -> Self {
         #[cfg(debug_assertions)]
