Refuse no route for one slow answer

Cause: since the admission change the first answer sets the estimate of a route's work. It took 1.5 s, all the time that callers have, so each request was refused for its work alone, and none could correct it.

Evidence: a_slow_first_answer_does_not_stop_a_route failed on the code before and passes now, as does the test that known work still refuses a request with too little time.

--- a/crates/mh_route/src/objects/pool.rs
+++ b/crates/mh_route/src/objects/pool.rs
@@ -321,7 +321,8 @@
         let round_trip = stats.round_trip_us() as f64;
         // Unlike the wait, the work time is uncertain until enough responses of the route were measured. A request is
         // therefore refused only if even a server that holds the object would answer too late.
-        let finish = wait + work_with_object / slowness.max(1.0) + round_trip;
+        let proven_work = request.work_times.proven_us() as f64 * slowness.min(1.0);
+        let finish = wait + proven_work + round_trip;
         let work_with_object_at_start = work_with_object * speed_at_start;
         let miss_cost_factor = if request.is_busy {
             let occupancy = (in_flight / slots).min(MAX_OCCUPANCY);
--- a/crates/mh_route/tests/objects.rs
+++ b/crates/mh_route/tests/objects.rs
@@ -67,6 +67,48 @@
     }
 }
 
+/// Guards against a route that is refused forever because its first answer was slow: the work was taken to last longer than
+/// callers wait, and no request was sent that could have shown otherwise.
+#[test]
+fn a_slow_first_answer_does_not_stop_a_route() {
+    let now = Instant::now();
+    let work_times = Arc::new(WorkTimes::default());
+    let pool = pool(&servers(1), now);
+    let remaining = Duration::from_millis(1500);
+    let first = pool.place(now, &ObjectRequest::new(None, remaining, &work_times), 1);
+    first.unwrap().done(now, answered(1499));
+
+    for n in 0..20 {
+        let next = pool.place(now, &ObjectRequest::new(None, remaining, &work_times), n);
+        next.expect("the server is free").done(now, answered(10));
+    }
+
+    assert!(work_times.with_object() < Duration::from_millis(300));
+}
+
+/// Guards against sending a request for which too little time is left, once the work of its route is known.
+#[test]
+fn a_request_with_less_time_than_its_work_is_refused() {
+    let now = Instant::now();
+    let work_times = Arc::new(WorkTimes::default());
+    let pool = pool(&servers(1), now);
+    for n in 0..16 {
+        let placed = pool.place(now, &ObjectRequest::new(None, SECOND, &work_times), n);
+        placed.unwrap().done(now, answered(200));
+    }
+
+    let hurried = ObjectRequest::new(None, Duration::from_millis(100), &work_times);
+
+    assert!(matches!(
+        pool.place(now, &hurried, 1),
+        Err(PlacementError::NoCapacity { .. })
+    ));
+    assert!(
+        pool.place(now, &ObjectRequest::new(None, SECOND, &work_times), 1)
+            .is_ok()
+    );
+}
+
 /// Guards against the loss of one server moving the objects of all others, which would no longer be cached.
 #[test]
 fn loss_of_a_server_moves_only_its_objects() {
