Give a test of admission work times that it does not measure

Cause: work times begin unknown now, and the harness answers in no time, so that the measured work was 1 us after the round trip and no wait followed from the queue. The test states the work; its checks are the same.

--- a/crates/mh_gateway/tests/gateway.rs
+++ b/crates/mh_gateway/tests/gateway.rs
@@ -10,6 +10,7 @@
 use harness::{FAILED, GatewayHarness, OK, Reply, SHED};
 use mh_gateway::LiveState;
 use mh_route::admission::{Admission, AdmissionRequest, AdmissionRoute};
+use mh_route::objects::WorkTimes;
 use tokio::time::Instant;
 
 const CLOSED_EARLY: Reply = Reply::Close("");
@@ -291,8 +292,12 @@
     record("pay", 600);
     let live = harness.gateway.live().as_ref().clone();
     let pool = Arc::clone(&live.backends[fixtures::SERVICE]);
+    // The harness answers in no time, from which no wait would follow.
+    let work = Duration::from_millis(200);
+    let work_times = ["safe", "pay"].map(|route| (route.into(), Arc::new(WorkTimes::new(work, work))));
     harness.gateway.publish(LiveState {
         admissions: [(fixtures::SERVICE.into(), Arc::clone(&admission))].into(),
+        work_times: live.work_times.clone().into_iter().chain(work_times).collect(),
         ..live
     });
 
