Log from whom a plan is and when the settings are not confirmed

E405 now names the origin and the store's version, E402 and E403 say when the settings were last confirmed and by whom, and the state dump shows the same for each kind of data.

--- a/crates/mh_gateway/src/control.rs
+++ b/crates/mh_gateway/src/control.rs
@@ -12,6 +12,7 @@
 mod limit_messages;
 mod load_reports;
 mod member_loop;
+mod origin;
 mod quota_controller;
 mod reader_report;
 mod relay;
@@ -26,6 +27,7 @@
 pub(crate) use capacity_reports::Capacities;
 pub(crate) use control_state::ControlState;
 pub(crate) use datagram::{Datagram, encode};
+pub(crate) use origin::Origin;
 pub(crate) use quota_controller::QuotaController;
 
 pub(crate) use announce_loop::{announce, withdraw};
--- a/crates/mh_gateway/src/control/deployment_state.rs
+++ b/crates/mh_gateway/src/control/deployment_state.rs
@@ -332,11 +332,6 @@
         if held.is_some_and(|held| held >= plan.revision) {
             return;
         }
-        emit!(
-            Event::PlanApplied,
-            revision = plan.revision,
-            before = held.unwrap_or_default()
-        );
         self.plan = Some(Arc::clone(plan));
     }
 
--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -4,10 +4,10 @@
 use mh_types::{Event, emit};
 use tokio::time::Instant;
 
-use super::announce;
 use super::feed_outage::FeedOutage;
 use super::reader_report::FeedVersions;
 use super::repeated_read::{FeedRead, read_changes};
+use super::{Origin, announce};
 use crate::node::GatewayNode;
 use crate::{ChangesRead, Feed};
 
@@ -95,7 +95,7 @@
                 if held.is_none() && feed == Feed::Vms {
                     node.apply_vm_list(&batch, now);
                 } else {
-                    node.apply_batch(feed, &batch, held.is_none(), now);
+                    node.apply_batch(feed, &batch, held.is_none(), &Origin::Store, now);
                 }
                 if held.is_none() || !batch.updates.is_empty() {
                     tokio::time::sleep(batching_delay(feed)).await;
--- a/crates/mh_gateway/src/control/feed_states.rs
+++ b/crates/mh_gateway/src/control/feed_states.rs
@@ -1,7 +1,8 @@
 use mh_relay::ChangeLog;
-use mh_types::StoreVersion;
+use mh_types::{StoreVersion, VmName};
 use tokio::time::Instant;
 
+use super::Origin;
 use super::reader_report::{Changes, FeedVersions, ReaderReport};
 use crate::source::Subject;
 use crate::{Batch, Feed, Update};
@@ -33,8 +34,8 @@
     log: ChangeLog<Subject, Update>,
     /// Whether this VM's last read failed.
     is_failing: bool,
-    /// When the state was last confirmed as the newest, by a read or by another VM's report.
-    confirmed_at: Option<Instant>,
+    /// When the state was last confirmed as the newest, and by what.
+    confirmation: Option<(Instant, Origin)>,
 }
 
 impl FeedStates {
@@ -68,7 +69,12 @@
 
     /// Returns when the state of `feed` was last confirmed as the newest.
     pub(crate) fn confirmed_at(&self, feed: Feed) -> Option<Instant> {
-        self.state(feed).confirmed_at
+        self.state(feed).confirmation.as_ref().map(|(at, _)| *at)
+    }
+
+    /// Returns what confirmed the state of `feed` last.
+    pub(crate) fn confirmed_by(&self, feed: Feed) -> Option<&Origin> {
+        self.state(feed).confirmation.as_ref().map(|(_, by)| by)
     }
 
     /// Records that the store is in `era`; returns whether it was restored since this VM last learned its era.
@@ -95,7 +101,14 @@
     }
 
     /// Accepts a batch from the store or from another VM.
-    pub(crate) fn accept(&mut self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) -> AcceptOutcome {
+    pub(crate) fn accept(
+        &mut self,
+        feed: Feed,
+        batch: &Batch,
+        is_whole: bool,
+        origin: &Origin,
+        now: Instant,
+    ) -> AcceptOutcome {
         // A read that was answered before the store was restored says nothing about its state now.
         if self.is_era_over(batch.version.era) {
             return AcceptOutcome::Unchanged;
@@ -107,7 +120,7 @@
             return AcceptOutcome::Unchanged;
         }
         if is_whole {
-            state.confirmed_at = Some(now);
+            state.confirmation = Some((now, origin.clone()));
             state.log.reset(batch.version);
             state.versions = Some(FeedVersions {
                 held: batch.version,
@@ -123,7 +136,7 @@
         if batch.version.era != versions.held.era {
             return AcceptOutcome::Unchanged;
         }
-        state.confirmed_at = Some(now);
+        state.confirmation = Some((now, origin.clone()));
         let before = *versions;
         versions.held = batch.version;
         if batch.updates.is_empty() || batch.last_changed_version <= before.held {
@@ -155,7 +168,7 @@
 
     /// Compares with another VM's report. A feed without missed changes counts as held up to the reported version.
     /// Returns the feeds of which the other VM holds newer changes.
-    pub(crate) fn compare(&mut self, report: &ReaderReport, now: Instant) -> Vec<Feed> {
+    pub(crate) fn compare(&mut self, report: &ReaderReport, from: &VmName, now: Instant) -> Vec<Feed> {
         self.note_era(report.era());
         let mut behind = Vec::new();
         for (feed, reported) in Feed::ALL.into_iter().zip(report.feeds) {
@@ -163,7 +176,7 @@
             match &mut state.versions {
                 Some(own) if own.held >= reported.changed => {
                     own.held = own.held.max(reported.held);
-                    state.confirmed_at = Some(now);
+                    state.confirmation = Some((now, Origin::Vm(from.clone())));
                 }
                 Some(_) => behind.push(feed),
                 // A feed that was never read is loaded by its feed loop, so nothing counts as confirmed.
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -123,6 +123,8 @@
 fn on_tick(node: &Arc<GatewayNode>, now: Instant) {
     let (alive, vms) = update_membership(node, now);
     node.relay.on_tick(now);
+    node.relay
+        .log_settings_age(node.gateway.bounds().settings_in_force, now);
     let changed = run_shifts(node, &alive, vms, now);
     if node.is_change_due(now) || changed {
         node.rebuild(now);
--- a/crates/mh_gateway/src/control/relay.rs
+++ b/crates/mh_gateway/src/control/relay.rs
@@ -62,6 +62,8 @@
     restores: watch::Sender<u64>,
     /// Time of the last failed read of the server registry, after an outage in which entries of live servers expired.
     registry_down_at: Mutex<Option<Instant>>,
+    /// Whether the settings were last logged as not confirmed in time.
+    is_stale: AtomicBool,
 }
 
 impl Relay {
@@ -88,6 +90,7 @@
             last_outage: watch::Sender::new(None),
             restores: watch::Sender::new(0),
             registry_down_at: Mutex::default(),
+            is_stale: AtomicBool::new(false),
         }
     }
 
@@ -101,6 +104,7 @@
             "held": versions.map(|versions| versions.held.to_string()),
             "changed": versions.map(|versions| versions.changed.to_string()),
             "age_ms": feeds.confirmed_at(feed).map(|at| now.saturating_duration_since(at).as_millis() as u64),
+            "confirmed_by": feeds.confirmed_by(feed).map(ToString::to_string),
             "failing": feeds.is_failing(feed),
         })
     }
@@ -110,6 +114,34 @@
         self.control.lock().age_ms(feed, now)
     }
 
+    /// Logs when the settings were not confirmed for longer than `max_age`, and when they are again.
+    pub(crate) fn log_settings_age(&self, max_age: Duration, now: Instant) {
+        let (age, confirmed_by, is_failing) = {
+            let control = self.control.lock();
+            let Some(at) = control.feeds.confirmed_at(Feed::Settings) else {
+                return;
+            };
+            let confirmed_by = control.feeds.confirmed_by(Feed::Settings).cloned();
+            let age = now.saturating_duration_since(at);
+            (age, confirmed_by, control.feeds.is_failing(Feed::Settings))
+        };
+        let is_stale = age > max_age;
+        if self.is_stale.swap(is_stale, Ordering::Relaxed) == is_stale {
+            return;
+        }
+        emit!(
+            if is_stale {
+                Event::NotCurrent
+            } else {
+                Event::CurrentAgain
+            },
+            age_ms = age.as_millis(),
+            confirmed_by = confirmed_by.as_ref().map(ToString::to_string).unwrap_or_default(),
+            reads = self.is_reader(),
+            failing = is_failing
+        );
+    }
+
     /// Returns whether `feed` is held up to at least version `min`.
     pub(crate) fn holds(&self, feed: Feed, min: StoreVersion) -> bool {
         self.versions(feed).is_some_and(|versions| versions.held >= min)
--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -9,9 +9,9 @@
 use tokio::time::Instant;
 
 use crate::control::datagram::decode;
-use crate::control::encode;
 use crate::control::reader_report::{FetchResponse, ReaderReport};
 use crate::control::repeated_read::read_changes;
+use crate::control::{Origin, encode};
 use crate::node::GatewayNode;
 use crate::request::increment;
 use crate::{Batch, ChangesRead, Feed};
@@ -117,7 +117,7 @@
         let answer = client.send(Method::GET, &path, None, Code::PeerUnreachable).await;
         let answer = answer.and_then(|answer| answer.error_for_status(Code::PeerUnreachable));
         let answer = answer.map_err(|e| e.current_context().to_string())?;
-        let (_, fetched) = decode::<FetchResponse>(&answer.body)?;
+        let (from, fetched) = decode::<FetchResponse>(&answer.body)?;
         increment(&self.gateway.counters().fetches);
         let batch = Batch {
             version: fetched.versions.held,
@@ -125,7 +125,7 @@
             clock: fetched.clock,
             updates: fetched.updates,
         };
-        self.apply_batch(feed, &batch, fetched.is_whole, Instant::now());
+        self.apply_batch(feed, &batch, fetched.is_whole, &Origin::Vm(from), Instant::now());
         Ok(())
     }
 
@@ -156,7 +156,7 @@
                 (self.source.read(feed).await?, true)
             }
         };
-        self.apply_batch(feed, &batch, is_whole, Instant::now());
+        self.apply_batch(feed, &batch, is_whole, &Origin::Store, Instant::now());
         Ok(())
     }
 
@@ -185,7 +185,7 @@
 
     /// Applies the first read of the VM list, which names the VMs to load the other feeds from.
     pub(crate) fn apply_vm_list(&self, batch: &Batch, now: Instant) {
-        self.apply_batch(Feed::Vms, batch, true, now);
+        self.apply_batch(Feed::Vms, batch, true, &Origin::Store, now);
         let region = self.control.lock().deployment.vms_of_region(&self.cfg.region);
         self.relay.set_vms(region, now);
         self.relay.vm_list_version.send_replace(Some(batch.version));
@@ -202,7 +202,7 @@
     }
     node.relay.is_fetching.store(false, Ordering::Release);
     let now = Instant::now();
-    if node.control.lock().feeds.compare(&report, now).is_empty() {
+    if node.control.lock().feeds.compare(&report, &from, now).is_empty() {
         node.on_report_confirmed(&from, now);
     }
 }
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -1,13 +1,13 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use mh_types::{StoreVersion, VmName};
+use mh_types::{Event, Revision, StoreVersion, VmName, emit};
 use tokio::time::Instant;
 
 use super::catch_up::fetch_missing;
 use crate::control::feed_states::AcceptOutcome;
 use crate::control::reader_report::{Changes, ReaderReport};
-use crate::control::{Datagram, encode};
+use crate::control::{Datagram, Origin, encode};
 use crate::node::GatewayNode;
 use crate::request::increment;
 use crate::{Batch, Feed, Plan, PlanChange, Update};
@@ -42,18 +42,28 @@
     }
 
     /// Applies a batch that was read from the store or received from another VM, and reports it to the region.
-    pub(crate) fn apply_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, now: Instant) {
+    pub(crate) fn apply_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, origin: &Origin, now: Instant) {
         self.relay.note_era(batch.version.era);
         // Versions and contents change together, so that no VM is served old contents with newer versions.
-        let (accepted, plan_before) = {
+        let (accepted, plan_before, plan) = {
             let mut control = self.control.lock();
-            let accepted = control.feeds.accept(feed, batch, is_whole, now);
+            let accepted = control.feeds.accept(feed, batch, is_whole, origin, now);
             let plan_before = control.deployment.plan().cloned();
             if !matches!(accepted, AcceptOutcome::Unchanged) {
                 control.deployment.apply(feed, batch, is_whole, now);
             }
-            (accepted, plan_before)
+            (accepted, plan_before, control.deployment.plan().cloned())
         };
+        let revision = |plan: &Option<Arc<Plan>>| plan.as_ref().map_or_else(Revision::default, |plan| plan.revision);
+        if revision(&plan) != revision(&plan_before) {
+            emit!(
+                Event::PlanApplied,
+                revision = revision(&plan),
+                before = revision(&plan_before),
+                version = batch.version,
+                from = origin
+            );
+        }
         let is_new = !matches!(accepted, AcceptOutcome::Unchanged);
         if is_new && feed == Feed::Vms {
             self.apply_stored_quarantines(&batch.updates, batch.clock);
@@ -124,9 +134,9 @@
                 .on_feed_recovered(Feed::Servers, at, true);
         }
         if let Some(changes) = report.changes.take() {
-            self.apply_reported_changes(changes, report.plan_change.take(), &report, now);
+            self.apply_reported_changes(from, changes, report.plan_change.take(), &report, now);
         }
-        let behind = self.control.lock().feeds.compare(&report, now);
+        let behind = self.control.lock().feeds.compare(&report, from, now);
         if behind.is_empty() {
             self.on_report_confirmed(from, now);
         } else if !behind.iter().any(|feed| self.relay.versions(*feed).is_none())
@@ -139,6 +149,7 @@
     /// Applies reported changes that directly follow the versions held; other changes are fetched.
     fn apply_reported_changes(
         &self,
+        from: &VmName,
         mut changes: Changes,
         plan_change: Option<PlanChange>,
         report: &ReaderReport,
@@ -164,7 +175,7 @@
             clock: report.clock,
             updates: changes.updates,
         };
-        self.apply_batch(changes.feed, &batch, false, now);
+        self.apply_batch(changes.feed, &batch, false, &Origin::Vm(from.clone()), now);
     }
 
     pub(super) fn on_report_confirmed(&self, from: &VmName, now: Instant) {
--- a/crates/mh_gateway/tests/unit/feed_states.rs
+++ b/crates/mh_gateway/tests/unit/feed_states.rs
@@ -28,7 +28,7 @@
 fn states() -> FeedStates {
     let mut states = FeedStates::default();
     for feed in Feed::ALL {
-        states.accept(feed, &batch(10, 10, &[]), true, Instant::now());
+        states.accept(feed, &batch(10, 10, &[]), true, &Origin::Store, Instant::now());
     }
     states
 }
@@ -50,10 +50,28 @@
 #[test]
 fn a_stale_read_is_not_accepted() {
     let mut states = states();
-    states.accept(Feed::Settings, &batch(12, 12, &["a"]), false, Instant::now());
+    states.accept(
+        Feed::Settings,
+        &batch(12, 12, &["a"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
 
-    let outcome = states.accept(Feed::Settings, &batch(11, 11, &["b"]), false, Instant::now());
-    let snapshot_outcome = states.accept(Feed::Settings, &batch(11, 11, &["b"]), true, Instant::now());
+    let outcome = states.accept(
+        Feed::Settings,
+        &batch(11, 11, &["b"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
+    let snapshot_outcome = states.accept(
+        Feed::Settings,
+        &batch(11, 11, &["b"]),
+        true,
+        &Origin::Store,
+        Instant::now(),
+    );
 
     assert!(matches!(outcome, AcceptOutcome::Unchanged), "{outcome:?}");
     assert!(
@@ -67,9 +85,21 @@
 #[test]
 fn a_known_change_is_not_accepted_again() {
     let mut states = states();
-    states.accept(Feed::Settings, &batch(12, 12, &["a"]), false, Instant::now());
+    states.accept(
+        Feed::Settings,
+        &batch(12, 12, &["a"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
 
-    let outcome = states.accept(Feed::Settings, &batch(15, 12, &["a"]), false, Instant::now());
+    let outcome = states.accept(
+        Feed::Settings,
+        &batch(15, 12, &["a"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
 
     assert!(matches!(outcome, AcceptOutcome::Unchanged), "{outcome:?}");
     assert_eq!(
@@ -86,9 +116,16 @@
 fn a_missed_change_is_detected_by_its_version() {
     let mut states = states();
 
-    assert!(states.compare(&report(14, 10), Instant::now()).is_empty());
+    assert!(
+        states
+            .compare(&report(14, 10), &"vm-2".into(), Instant::now())
+            .is_empty()
+    );
     assert_eq!(states.versions(Feed::Servers).unwrap().held, at(14));
-    assert_eq!(states.compare(&report(16, 15), Instant::now()), Vec::from(Feed::ALL));
+    assert_eq!(
+        states.compare(&report(16, 15), &"vm-2".into(), Instant::now()),
+        Vec::from(Feed::ALL)
+    );
     assert_eq!(states.versions(Feed::Servers).unwrap().held, at(14));
 }
 
@@ -107,8 +144,20 @@
 #[test]
 fn missed_changes_come_from_the_log() {
     let mut states = states();
-    states.accept(Feed::Settings, &batch(12, 12, &["a"]), false, Instant::now());
-    states.accept(Feed::Settings, &batch(14, 14, &["b"]), false, Instant::now());
+    states.accept(
+        Feed::Settings,
+        &batch(12, 12, &["a"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
+    states.accept(
+        Feed::Settings,
+        &batch(14, 14, &["b"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
 
     assert_eq!(states.since(Feed::Settings, at(10)).unwrap().len(), 2);
     assert_eq!(states.since(Feed::Settings, at(13)).unwrap().len(), 1);
@@ -130,7 +179,7 @@
         );
         let mut read = batch(version, version, &["a"]);
         read.updates.push(Update::Plan(plan.into()));
-        states.accept(Feed::Settings, &read, false, Instant::now());
+        states.accept(Feed::Settings, &read, false, &Origin::Store, Instant::now());
     }
 
     let updates = states.since(Feed::Settings, at(10)).unwrap();
@@ -155,7 +204,13 @@
 fn a_full_read_of_a_later_era_is_accepted_with_a_lower_number() {
     let mut states = states();
 
-    let outcome = states.accept(Feed::Settings, &restored_batch(4, &["a"]), true, Instant::now());
+    let outcome = states.accept(
+        Feed::Settings,
+        &restored_batch(4, &["a"]),
+        true,
+        &Origin::Store,
+        Instant::now(),
+    );
 
     assert!(matches!(outcome, AcceptOutcome::Snapshot), "{outcome:?}");
     assert_eq!(states.versions(Feed::Settings).unwrap().held, StoreVersion::new(1, 4));
@@ -167,10 +222,28 @@
 fn changes_of_another_era_are_not_applied() {
     let mut states = states();
 
-    let outcome = states.accept(Feed::Settings, &restored_batch(12, &["a"]), false, Instant::now());
+    let outcome = states.accept(
+        Feed::Settings,
+        &restored_batch(12, &["a"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
     assert!(matches!(outcome, AcceptOutcome::Unchanged), "{outcome:?}");
-    let late = states.accept(Feed::Servers, &batch(30, 30, &["b"]), false, Instant::now());
-    let late_snapshot = states.accept(Feed::Servers, &batch(30, 30, &["b"]), true, Instant::now());
+    let late = states.accept(
+        Feed::Servers,
+        &batch(30, 30, &["b"]),
+        false,
+        &Origin::Store,
+        Instant::now(),
+    );
+    let late_snapshot = states.accept(
+        Feed::Servers,
+        &batch(30, 30, &["b"]),
+        true,
+        &Origin::Store,
+        Instant::now(),
+    );
 
     assert!(matches!(late, AcceptOutcome::Unchanged), "{late:?}");
     assert!(matches!(late_snapshot, AcceptOutcome::Unchanged), "{late_snapshot:?}");
@@ -190,7 +263,10 @@
         ..report(0, 0)
     };
 
-    assert_eq!(states.compare(&report, Instant::now()), Vec::from(Feed::ALL));
+    assert_eq!(
+        states.compare(&report, &"vm-2".into(), Instant::now()),
+        Vec::from(Feed::ALL)
+    );
     assert!(states.reportable_versions().is_none());
     assert_eq!(states.versions(Feed::Settings).unwrap().held, at(10));
 }
--- a/crates/mh_gateway/tests/unit/locks.rs
+++ b/crates/mh_gateway/tests/unit/locks.rs
@@ -5,6 +5,7 @@
 use tokio::net::TcpStream;
 
 use super::*;
+use crate::control::Origin;
 
 async fn health_answer(node: &GatewayNode, path: &str) -> String {
     let mut stream = TcpStream::connect(node.cfg.listen.health)
@@ -34,7 +35,13 @@
     let served_from = StoreVersion::new(0, 10);
 
     update_membership(&node, now);
-    node.apply_batch(Feed::Settings, &batch(11, plan_changes().updates), false, now);
+    node.apply_batch(
+        Feed::Settings,
+        &batch(11, plan_changes().updates),
+        false,
+        &Origin::Store,
+        now,
+    );
     let served = node
         .fetch_response(Feed::Settings, served_from, StoreVersion::new(0, 11))
         .await;
@@ -42,6 +49,7 @@
         Feed::Vms,
         &batch(12, vec![Update::Vm("vm-2".into(), Some(listed("vm-2")))]),
         false,
+        &Origin::Store,
         now,
     );
     update_membership(&node, now);
@@ -70,6 +78,7 @@
         Feed::Settings,
         &batch(11, vec![Update::Order("stock".into(), Some(order))]),
         false,
+        &Origin::Store,
         now,
     );
 
