Show settings that come late at a VM whose readers are gone

A VM that is not one of the first two of its region's list calls a store that does not answer rarely and sends no call again, even if the first two are dead or cannot be heard. A call that arrives just before the store answers again is lost, and the next one follows after 2 s and a pause of 1.2 to 3.6 s, unless a call for other data is answered before. Settings that were confirmed are then not in force within 2 s.

The order is forced: the store is silent until a call of the VM for the settings is lost, then it answers calls for the settings only.

--- a/crates/mh_gateway/tests/silent_store.rs
+++ b/crates/mh_gateway/tests/silent_store.rs
@@ -9,7 +9,10 @@
 use std::time::Duration;
 
 use fleet::{Fleet, SMALL_REGION_VMS};
-use mh_gateway::{BoundSettings, Feed, Update};
+use mh_gateway::{AnnouncedVm, BoundSettings, Feed, Update};
+use mh_relay::{Election, RelayTimings};
+use mh_types::{DomainName, VmName};
+use store::MemoryStore;
 use tokio::time::Instant;
 
 /// Lengths of the silence.
@@ -19,9 +22,52 @@
     Duration::from_secs(6),
 ];
 
+/// Time within which a change of the settings is in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
 /// Time within which a VM sends no more requests to a server that leaves.
 const DRAIN_NOTICED: Duration = Duration::from_secs(5);
 
+/// Returns the entry of a VM that is listed in the region and does not run.
+fn dead_vm(name: &str, domain: &DomainName) -> AnnouncedVm {
+    let cfg = fleet::settings(0);
+    AnnouncedVm {
+        vm: name.into(),
+        domain: domain.clone(),
+        region: cfg.region,
+        callers: cfg.listen.callers,
+        peers: cfg.listen.peers,
+    }
+}
+
+/// Lists `count` VMs of the region that do not run, of which at least two come before the VM `n` in the order of readers.
+fn list_dead_vms(store: &MemoryStore, n: usize, count: usize) {
+    let own = fleet::settings(n);
+    let is_before = |name: &String| {
+        let mut election = Election::new(own.vm.clone(), RelayTimings::for_deadline(IN_FORCE), Instant::now());
+        let vms = [own.vm.as_str(), name, "other"].map(VmName::from);
+        let domains = [own.domain.clone(), own.domain.clone(), "other".into()];
+        election.set_vms(vms.into_iter().zip(domains), Instant::now());
+        !election.is_preferred_reader()
+    };
+    let first = (0..).map(|k| format!("dead-{k}")).find(is_before);
+    let mut vms = vec![dead_vm(&first.expect("endless names"), &own.domain)];
+    vms.extend((1..count).map(|k| dead_vm(&format!("other-{k}"), &"other".into())));
+    for vm in vms {
+        store.put(Feed::Vms, Update::Vm(vm.vm.clone(), Some(vm)));
+    }
+}
+
+/// Makes the store silent until the VM has failed to read it several times, and its next call for changes of the settings
+/// is lost. The store then answers calls for the settings only, so that no other answer shows that it is back.
+async fn silence_until_call_is_lost(store: &MemoryStore) {
+    store.set_silent(true);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let calls = store.change_calls(Feed::Settings);
+    fleet::wait_until(|| store.change_calls(Feed::Settings) > calls).await;
+    store.set_feed_silent(Feed::Settings, false);
+}
+
 /// Makes the store silent for `silence` after a change, so that every VM's next call for changes is lost.
 async fn silence_after_change(fleet: &Fleet, silence: Duration, change: impl FnOnce()) {
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -54,6 +100,24 @@
     }
 }
 
+/// Guards against a VM that keeps old settings because it leaves the calls after an outage to readers that are gone.
+#[tokio::test(start_paused = true)]
+async fn settings_are_in_force_in_time_at_a_vm_whose_readers_are_gone() {
+    for dead in [2, 29] {
+        let store = MemoryStore::new();
+        store.put(Feed::Settings, Update::Plan(fixtures::plan(1).into()));
+        list_dead_vms(&store, 0, dead);
+        let fleet = Fleet::start_on(store, 1).await;
+        fleet.wait_for_revision(1).await;
+        silence_until_call_is_lost(&fleet.store).await;
+
+        fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
+        tokio::time::sleep(IN_FORCE).await;
+
+        assert_eq!(fleet.revisions(), [Some(2)], "{dead} VMs are gone");
+    }
+}
+
 /// Guards against VMs that send requests to a server that has left because they wait for the answer to a lost call.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_server_is_noticed_after_calls_without_an_answer() {
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -1,7 +1,7 @@
 //! In-memory store that counts the calls of each VM, and can refuse the calls of some VMs or leave calls unanswered.
 #![allow(dead_code, reason = "each test file uses a part of the fixture")]
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -26,9 +26,11 @@
     /// All updates with their versions, in order.
     updates: Vec<(Feed, u64, Update)>,
     refused: HashSet<VmName>,
-    /// Whether calls that arrive are never answered. Calls that are already waiting are not affected.
-    is_silent: bool,
+    /// Feeds whose calls are never answered if they arrive now. Calls that are already waiting are not affected.
+    silent_feeds: HashSet<Feed>,
     calls: BTreeMap<VmName, usize>,
+    /// Calls for changes of each feed since the start.
+    change_calls: HashMap<Feed, usize>,
     /// Addresses under which single VMs see servers, instead of those in their entries.
     seen_addrs: BTreeMap<(VmName, ServerName), SocketAddr>,
 }
@@ -134,7 +136,20 @@
 
     /// Sets whether calls that arrive from now on are left unanswered.
     pub fn set_silent(&self, is_silent: bool) {
-        self.with_state(|state| state.is_silent = is_silent);
+        for feed in Feed::ALL {
+            self.set_feed_silent(feed, is_silent);
+        }
+    }
+
+    /// Sets whether calls for `feed` that arrive from now on are left unanswered.
+    pub fn set_feed_silent(&self, feed: Feed, is_silent: bool) {
+        self.with_state(|state| {
+            if is_silent {
+                state.silent_feeds.insert(feed);
+            } else {
+                state.silent_feeds.remove(&feed);
+            }
+        });
     }
 
     /// Makes `vm` see the server `name` at `addr`.
@@ -147,6 +162,11 @@
         self.with_state(|state| std::mem::take(&mut state.calls))
     }
 
+    /// Returns the calls for changes of `feed` that have arrived since the start.
+    pub fn change_calls(&self, feed: Feed) -> usize {
+        self.with_state(|state| state.change_calls.get(&feed).copied().unwrap_or_default())
+    }
+
     fn count_call(&self, vm: &VmName) {
         self.with_state(|state| *state.calls.entry(vm.clone()).or_default() += 1);
     }
@@ -158,9 +178,9 @@
 
 impl VmSource {
     /// Makes a call that asks the store to wait up to `wait`; `f` runs when the call arrives.
-    async fn call<T>(&self, wait: Duration, f: impl FnOnce(&mut State) -> T) -> Result<T> {
+    async fn call<T>(&self, feed: Feed, wait: Duration, f: impl FnOnce(&mut State) -> T) -> Result<T> {
         self.store.count_call(&self.vm);
-        if self.store.with_state(|state| state.is_silent) {
+        if self.store.with_state(|state| state.silent_feeds.contains(&feed)) {
             tokio::time::sleep(wait + CALL_TIMEOUT).await;
             return Err(Report::new(PlatformError(Code::TableTimeout)));
         }
@@ -218,14 +238,19 @@
 
 impl Source for VmSource {
     fn read(&self, feed: Feed) -> BoxFuture<'_, Result<Batch>> {
-        Box::pin(async move { self.call(Duration::ZERO, |state| batch(state, &self.vm, feed, 0)).await })
+        Box::pin(async move {
+            self.call(feed, Duration::ZERO, |state| batch(state, &self.vm, feed, 0))
+                .await
+        })
     }
 
     fn changes(&self, feed: Feed, version: StoreVersion, wait: Duration) -> BoxFuture<'_, Result<ChangesRead>> {
         Box::pin(async move {
             let mut changed = self.store.changed.subscribe();
             let end = tokio::time::Instant::now() + wait;
-            self.call(wait, |_| ()).await?;
+            self.store
+                .with_state(|state| *state.change_calls.entry(feed).or_default() += 1);
+            self.call(feed, wait, |_| ()).await?;
             loop {
                 let read = self.since(feed, version)?;
                 let is_empty = matches!(&read, ChangesRead::Changes(batch) if batch.updates.is_empty());
@@ -238,7 +263,7 @@
 
     fn announce<'a>(&'a self, vm: &'a AnnouncedVm) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(Duration::ZERO, |_| ()).await?;
+            self.call(Feed::Vms, Duration::ZERO, |_| ()).await?;
             self.store.put(Feed::Vms, Update::Vm(vm.vm.clone(), Some(vm.clone())));
             Ok(())
         })
@@ -246,7 +271,7 @@
 
     fn withdraw<'a>(&'a self, vm: &'a VmName) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(Duration::ZERO, |_| ()).await?;
+            self.call(Feed::Vms, Duration::ZERO, |_| ()).await?;
             self.store.put(Feed::Vms, Update::Vm(vm.clone(), None));
             Ok(())
         })
@@ -254,7 +279,7 @@
 
     fn record_quarantine<'a>(&'a self, quarantine: &'a StoredQuarantine) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(Duration::ZERO, |_| ()).await?;
+            self.call(Feed::Vms, Duration::ZERO, |_| ()).await?;
             let update = Update::Quarantine(quarantine.fingerprint, Some(quarantine.clone()));
             self.store.put(Feed::Vms, update);
             Ok(())
@@ -263,7 +288,7 @@
 
     fn remove_quarantine<'a>(&'a self, fingerprint: &'a Fingerprint) -> BoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            self.call(Duration::ZERO, |_| ()).await?;
+            self.call(Feed::Vms, Duration::ZERO, |_| ()).await?;
             self.store.put(Feed::Vms, Update::Quarantine(*fingerprint, None));
             Ok(())
         })
