Let VMs notice by their own calls that the store is back if nobody else does

Callers of a VM whose readers were dead or could not be heard were served by old settings for up to 5.6 s after an outage of the store.

Cause: which VMs call a store often that does not answer, and repeat calls that are lost, followed from the list of VMs alone. The first two of the list did, whether they ran or not. Class: waiting for somebody of whom nothing shows that he is there.

Now a VM that calls in vain says so every 0.4 s (NoNews, which it sent once before), and another one leaves the calls to it only as long as it hears two such VMs before it in the order, or their reports, within half of the bound on settings. Otherwise it calls often itself, later by its place in the order, and a call that may be lost is given up for it.

--- a/crates/mh_gateway/src/control/datagram.rs
+++ b/crates/mh_gateway/src/control/datagram.rs
@@ -61,7 +61,7 @@
     Member(mh_member::Msg),
     /// The feed versions that a reader of the store holds, with its latest changes.
     News(Box<ReaderReport>),
-    /// The sender can no longer read the store.
+    /// The sender calls the store in vain.
     NoNews,
     /// Request counts that backend servers reported to the sender.
     Loads(Vec<(ServerName, u32)>),
--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -83,6 +83,10 @@
                 outage.on_unanswered(over.lost_at.min(started));
                 continue;
             }
+            () = node.must_retry_often(feed), if node.relay.is_failing(feed) => {
+                outage.on_unanswered(started);
+                continue;
+            }
         };
         let now = Instant::now();
         if read.is_repeat {
@@ -115,6 +119,7 @@
                 tokio::select! {
                     () = tokio::time::sleep(pause) => {}
                     _ = node.relay.outage_over(started) => {}
+                    () = node.must_retry_often(feed) => {}
                     () = node.epoch_changed(epoch) => {}
                 }
             }
--- a/crates/mh_gateway/src/control/feed_outage.rs
+++ b/crates/mh_gateway/src/control/feed_outage.rs
@@ -17,7 +17,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// Factor on the maximum backoff where another read is likely to notice the store's recovery first: this VM's read of
-/// the settings, or a read by a VM earlier in the reader order.
+/// the settings, or a read by a VM earlier in the reader order that is heard to call.
 const SECONDARY_BACKOFF_FACTOR: u32 = 3;
 
 /// Shortest outage after which entries of live servers may have expired.
@@ -75,11 +75,12 @@
     /// Returns the pause before the next read, with random jitter, so that the VMs do not all call a recovering store at
     /// once.
     pub(super) fn next_pause(&mut self) -> Duration {
-        let pause = self.backoff.mul_f64(0.5 + rand::random::<f64>());
         let is_first = self.node.retries_often(self.feed);
         let max_backoff = MAX_BACKOFF * if is_first { 1 } else { SECONDARY_BACKOFF_FACTOR };
-        self.backoff = (self.backoff * 2).min(max_backoff);
-        pause
+        // The maximum is lower if other VMs have stopped calling since the last failure.
+        let backoff = self.backoff.min(max_backoff);
+        self.backoff = (backoff * 2).min(max_backoff);
+        backoff.mul_f64(0.5 + rand::random::<f64>())
     }
 
     /// Records that the store answered a call sent at `sent_at`.
@@ -118,6 +119,14 @@
     /// Returns whether this VM calls the store often for `feed` while it cannot be read. Failed calls cost the store as
     /// much as others, so only few VMs and feeds do.
     pub(super) fn retries_often(&self, feed: Feed) -> bool {
-        feed == Feed::Settings && self.relay.is_preferred_reader()
+        feed == Feed::Settings && self.relay.is_leading_caller()
+    }
+
+    /// Waits until this VM must call the store often for `feed`; it never ends if it already does.
+    pub(super) async fn must_retry_often(&self, feed: Feed) {
+        if feed != Feed::Settings || self.relay.is_leading_caller() {
+            return std::future::pending().await;
+        }
+        self.relay.became_leading_caller().await;
     }
 }
--- a/crates/mh_gateway/src/control/member_loop.rs
+++ b/crates/mh_gateway/src/control/member_loop.rs
@@ -21,6 +21,10 @@
 /// Time between two ticks of the membership protocol.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Ticks between two notices that this VM calls the store in vain. Other VMs hear several of them before they rely on
+/// their own calls.
+const TICKS_PER_FAILURE_NOTICE: usize = 2;
+
 /// Ticks between two load reports to other VMs; the server loads of one interval share a datagram.
 const TICKS_PER_LOAD_REPORT: usize = 2;
 
@@ -63,6 +67,9 @@
                 last_tick = now;
                 on_tick(&node, now);
                 tick_count += 1;
+                if tick_count.is_multiple_of(TICKS_PER_FAILURE_NOTICE) {
+                    node.repeat_failure_notice();
+                }
                 if tick_count.is_multiple_of(TICKS_PER_LOAD_REPORT) {
                     node.send_load_reports(tick_count / TICKS_PER_LOAD_REPORT);
                 }
@@ -86,7 +93,7 @@
             node.send_membership(out);
         }
         Datagram::News(report) => node.on_reader_report(from, *report, now),
-        Datagram::NoNews => node.on_reader_failed(from),
+        Datagram::NoNews => node.on_reader_failed(from, now),
         Datagram::Loads(loads) => node.on_load_reports(&loads, now),
         Datagram::StatedLoads(msg) => node.on_stated_loads(from, &msg, now),
         Datagram::Lend(msgs) => {
--- a/crates/mh_gateway/src/control/relay.rs
+++ b/crates/mh_gateway/src/control/relay.rs
@@ -46,6 +46,8 @@
     election: Mutex<Election>,
     control: Arc<Mutex<ControlState>>,
     is_reader: watch::Sender<bool>,
+    /// Whether this VM must notice by its own calls when the store answers again.
+    is_leading_caller: watch::Sender<bool>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
     is_fetching: AtomicBool,
     /// Held by the task that brings a feed up to date, so that other tasks wait instead of sending the same request.
@@ -81,6 +83,7 @@
             )),
             control,
             is_reader: watch::Sender::new(true),
+            is_leading_caller: watch::Sender::new(true),
             clients: Mutex::default(),
             is_fetching: AtomicBool::new(false),
             catch_up_locks: Default::default(),
@@ -214,6 +217,21 @@
         self.election.lock().is_preferred_reader()
     }
 
+    /// Returns whether this VM must notice by its own calls when the store answers again, so that it calls often.
+    pub(crate) fn is_leading_caller(&self) -> bool {
+        *self.is_leading_caller.borrow()
+    }
+
+    /// Waits until this VM is a leading caller.
+    pub(crate) async fn became_leading_caller(&self) {
+        // The sender lives as long as this value, so the wait does not fail.
+        let _ = self
+            .is_leading_caller
+            .subscribe()
+            .wait_for(|is_leading| *is_leading)
+            .await;
+    }
+
     /// Waits until this VM is a reader.
     pub(crate) async fn became_reader(&self) {
         // The sender lives as long as this value, so the wait does not fail.
@@ -328,6 +346,9 @@
     }
 
     fn update_reader_role(&self, election: &Election) {
+        let is_leading = election.is_leading_caller();
+        self.is_leading_caller
+            .send_if_modified(|held| std::mem::replace(held, is_leading) != is_leading);
         let is_reader = election.is_reader();
         let changed = self
             .is_reader
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -28,17 +28,29 @@
         });
         let was_reader = self.relay.is_reader();
         if self.relay.record_read(feed, succeeded, now) && was_reader {
-            for vm in self.relay.peers() {
-                if let Some(addr) = self.peer_addr(&vm) {
-                    self.send_to(addr, &Datagram::NoNews);
-                }
+            self.send_failure_notice();
+        }
+    }
+
+    fn send_failure_notice(&self) {
+        for vm in self.relay.peers() {
+            if let Some(addr) = self.peer_addr(&vm) {
+                self.send_to(addr, &Datagram::NoNews);
             }
         }
     }
 
+    /// Tells the region that this VM goes on calling a store that does not answer, so that the others need not.
+    pub(crate) fn repeat_failure_notice(&self) {
+        let relay = &self.relay;
+        if relay.is_reader() && relay.is_leading_caller() && relay.is_failing(Feed::Settings) {
+            self.send_failure_notice();
+        }
+    }
+
     /// Records that another VM cannot read the store.
-    pub(crate) fn on_reader_failed(&self, from: &VmName) {
-        self.relay.election.lock().on_reader_failed(from);
+    pub(crate) fn on_reader_failed(&self, from: &VmName, now: Instant) {
+        self.relay.election.lock().on_reader_failed(from, now);
     }
 
     /// Applies a batch that was read from the store or received from another VM, and reports it to the region.
--- a/crates/mh_gateway/tests/silent_store.rs
+++ b/crates/mh_gateway/tests/silent_store.rs
@@ -81,7 +81,7 @@
 /// Guards against VMs that keep old settings because they wait for the answer to a call that the store has lost.
 #[tokio::test(start_paused = true)]
 async fn settings_are_in_force_in_time_after_calls_without_an_answer() {
-    for count in [1, 2, 3, SMALL_REGION_VMS] {
+    for count in [1, 2, 3, SMALL_REGION_VMS, 30] {
         for silence in SILENCES {
             let fleet = Fleet::start_with(count).await;
             fleet.wait_for_revision(1).await;
--- a/crates/mh_relay/src/election.rs
+++ b/crates/mh_relay/src/election.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::time::Duration;
 
 use mh_types::{DomainName, VmName};
 use smallvec::SmallVec;
@@ -31,11 +32,16 @@
     rank: usize,
     /// Time of the last report from each reader.
     last_report: HashMap<VmName, Instant>,
+    /// Time of the last notice from each VM that calls the store in vain.
+    last_failure_notice: HashMap<VmName, Instant>,
     is_reader: bool,
     /// Time since which there have been too few readers with recent reports.
     too_few_since: Option<Instant>,
     /// Time since which enough readers with a higher priority have been active.
     excess_since: Option<Instant>,
+    /// Time since which too few VMs with a higher priority have been heard to call the store.
+    leading_since: Option<Instant>,
+    is_leading_caller: bool,
     /// Earliest time at which this VM may read again while another reader is active, after its own calls failed.
     retry_at: Option<Instant>,
     /// Time until which the first VMs of a newly received list are assumed to be readers.
@@ -52,7 +58,10 @@
             domain_vms: Vec::new(),
             rank: 0,
             last_report: HashMap::new(),
+            last_failure_notice: HashMap::new(),
             is_reader: true,
+            leading_since: Some(now),
+            is_leading_caller: true,
             too_few_since: Some(now),
             excess_since: None,
             retry_at: None,
@@ -85,6 +94,7 @@
         self.rank = rank.unwrap_or(self.order.len());
         let order = &self.order;
         self.last_report.retain(|vm, _| order.contains(vm));
+        self.last_failure_notice.retain(|vm, _| order.contains(vm));
         // Otherwise, when a whole fleet starts, every VM would read until it received the first reports.
         let stops = self.is_reader && !was_listed && !self.order.is_empty() && !self.is_preferred_reader();
         if stops {
@@ -145,9 +155,18 @@
         }
     }
 
-    /// Records that a VM reported that it cannot read the store, which invalidates its earlier reports.
-    pub fn on_reader_failed(&mut self, from: &VmName) {
+    /// Records that a VM reported that it calls the store in vain, which invalidates its earlier reports.
+    pub fn on_reader_failed(&mut self, from: &VmName, now: Instant) {
         self.last_report.remove(from);
+        if self.order.contains(from) {
+            self.last_failure_notice.insert(from.clone(), now);
+        }
+    }
+
+    /// Returns whether this VM must notice by its own calls when the store answers again. Others leave that to the first
+    /// two that they hear, because failed calls cost the store as much as answered ones.
+    pub fn is_leading_caller(&self) -> bool {
+        self.is_leading_caller
     }
 
     /// Records that a store call of this VM failed.
@@ -161,7 +180,10 @@
     /// Discards all reports and starts reading, for example after a pause of the process.
     pub fn reset(&mut self, now: Instant) {
         self.last_report.clear();
+        self.last_failure_notice.clear();
         self.is_reader = true;
+        self.leading_since = Some(now);
+        self.is_leading_caller = true;
         self.too_few_since = Some(now);
         self.excess_since = None;
         self.retry_at = None;
@@ -176,6 +198,7 @@
     /// Re-evaluates the role of this VM. Returns whether it changed.
     pub fn on_tick(&mut self, now: Instant) -> bool {
         let was_reader = self.is_reader;
+        self.update_leading_caller(now);
         if self.is_reader {
             self.stop_if_redundant(now);
         } else {
@@ -184,6 +207,26 @@
         was_reader != self.is_reader
     }
 
+    fn update_leading_caller(&mut self, now: Instant) {
+        let is_heard = |at: &Instant| now <= *at + self.timings.report_lifetime;
+        let calls = |vm: &&VmName| {
+            let times = [&self.last_report, &self.last_failure_notice];
+            times.iter().any(|times| times.get(*vm).is_some_and(is_heard))
+        };
+        if self.order.iter().take(self.rank).filter(calls).count() >= READERS_PER_REGION {
+            self.leading_since = None;
+            self.is_leading_caller = false;
+            return;
+        }
+        let since = *self.leading_since.get_or_insert(now);
+        self.is_leading_caller = self.is_preferred_reader() || now >= since + self.stagger();
+    }
+
+    /// Returns the delay by which this VM takes over later than the first one in the priority order.
+    fn stagger(&self) -> Duration {
+        self.timings.takeover_stagger * self.rank.min(MAX_STAGGER_STEPS) as u32
+    }
+
     /// Stops reading after enough VMs with a higher priority have been readers for the settle delay.
     fn stop_if_redundant(&mut self, now: Instant) {
         self.too_few_since = None;
@@ -212,12 +255,12 @@
             return;
         }
         let since = *self.too_few_since.get_or_insert(now);
-        let stagger = self.timings.takeover_stagger * self.rank.min(MAX_STAGGER_STEPS) as u32;
+        let stagger = self.stagger();
         let wait = match recent {
             0 => stagger,
             // One reader is still active, so a second one is not urgent.
             _ if !self.is_preferred_reader() => self.timings.settle_delay + stagger,
-            _ => std::time::Duration::ZERO,
+            _ => Duration::ZERO,
         };
         if now >= since + wait {
             self.is_reader = true;
--- a/crates/mh_relay/tests/election.rs
+++ b/crates/mh_relay/tests/election.rs
@@ -4,12 +4,18 @@
 
 use std::time::Duration;
 
+use mh_relay::{Election, RelayTimings};
+use mh_types::VmName;
 use proptest::prelude::*;
 use region::SimulatedRegion;
+use tokio::time::Instant;
 
 /// Time in which a change must be in force on every VM.
 const DEADLINE: Duration = Duration::from_secs(2);
 
+/// Interval between two ticks of a VM.
+const TICK: Duration = Duration::from_millis(200);
+
 /// Guards against every VM reading the store, which makes the number of reads grow with VMs times changes.
 #[test]
 fn two_vms_read_in_steady_state() {
@@ -72,6 +78,35 @@
     assert!(calls <= 60, "{calls} calls in 10 s");
 }
 
+/// Guards against a region in which nobody calls a store that was away often enough, because the VMs that should are gone.
+#[test]
+fn next_vms_call_often_when_leading_callers_fall_silent() {
+    let now = Instant::now();
+    let timings = RelayTimings::for_deadline(DEADLINE);
+    let names: Vec<VmName> = (0..30).map(|n| format!("vm-{n}").as_str().into()).collect();
+    let is_first = |vm: &&VmName| {
+        let mut election = Election::new((*vm).clone(), timings, now);
+        election.set_vms(names.iter().map(|vm| (vm.clone(), "a".into())), now);
+        election.is_preferred_reader()
+    };
+    let leading: Vec<&VmName> = names.iter().filter(is_first).collect();
+    for vm in names.iter().filter(|vm| !leading.contains(vm)) {
+        let mut election = Election::new(vm.clone(), timings, now);
+        election.set_vms(names.iter().map(|vm| (vm.clone(), "a".into())), now);
+        let mut tick = |at: Duration, heard: &[&VmName]| {
+            heard.iter().for_each(|from| election.on_reader_failed(from, now + at));
+            election.on_tick(now + at);
+            election.is_leading_caller()
+        };
+
+        let while_both_call = (0..20).filter(|n| tick(TICK * *n, &leading)).count();
+        let ticks = (20..).take_while(|n| !tick(TICK * *n, &leading[..1])).count();
+
+        assert_eq!(while_both_call, 0, "{vm}");
+        assert!(TICK * ticks as u32 <= DEADLINE, "{vm} calls often after {ticks} ticks");
+    }
+}
+
 /// Guards against both readers being in one failure domain, whose loss would leave the region without a reader.
 #[test]
 fn readers_are_in_different_failure_domains() {
--- a/crates/mh_relay/tests/region/mod.rs
+++ b/crates/mh_relay/tests/region/mod.rs
@@ -129,7 +129,7 @@
             vm.election.on_read_failed(now);
             let (from, sender_reachable) = (vm.name.clone(), vm.peers_reachable);
             let others = self.vms.iter_mut().filter(|vm| vm.peers_reachable && sender_reachable);
-            others.for_each(|other| other.election.on_reader_failed(&from));
+            others.for_each(|other| other.election.on_reader_failed(&from, now));
             return;
         }
         vm.confirmed_at = now;
