Read the store, not VMs that rely on this one, after the history is lost

Cause: a VM of a region of nine or more that is not one of the first two of the list loaded what it had lost from other VMs before it asked the store, for up to 1.5 s if its process was of a fleet's first start, and accepted whatever was newer than its own start. If it was the only reader, the others relied on its reports, and it loaded from them: every answer of the store said that the history was lost, and the region kept its settings until the first two could read. Class: each counts on the other; the age of a proof was compared with the wrong event.

Now what the store says is lost is read from the store, and only a VM that has never held a kind of data waits for others as at a first start.

Evidence: the test failed in 20 of 20 runs before and passes in 20 of 20.

--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -35,6 +35,8 @@
     let mut epoch = node.epoch();
     let mut outage = FeedOutage::new(Arc::clone(&node), feed);
     let mut is_first_start = node.cfg.first_start;
+    // The other VMs of a region rely on a reader, so what it misses is only in the store.
+    let mut must_read_store = false;
     loop {
         if node.epoch() != epoch {
             epoch = node.epoch();
@@ -51,7 +53,7 @@
             announce(Arc::clone(&node)).await;
             tokio::time::sleep(FIRST_START_DELAY).await;
         }
-        if held.is_none() && feed != Feed::Vms {
+        if held.is_none() && feed != Feed::Vms && !must_read_store {
             let is_loaded = tokio::select! {
                 is_loaded = node.load_from_peers(feed) => is_loaded,
                 () = node.epoch_changed(epoch) => continue,
@@ -96,6 +98,7 @@
             Ok(ChangesRead::Changes(batch)) => {
                 outage.on_answer(read.sent_at);
                 node.on_read(feed, true, now);
+                must_read_store = false;
                 if held.is_none() && feed == Feed::Vms {
                     node.apply_vm_list(&batch, now);
                 } else {
@@ -109,6 +112,7 @@
                 let version = held.unwrap_or_default().held;
                 emit!(Event::FeedReset, feed = feed, version = version, era = era);
                 node.relay.note_era(era);
+                must_read_store = true;
                 if node.relay.versions(feed) == held {
                     node.relay.invalidate(feed);
                 }
--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -50,7 +50,7 @@
     ) -> Option<Bytes> {
         // If all VMs were lost, the others are starting too, and waiting for them would prolong the outage. The VMs of
         // a fleet that starts for the first time have the time to wait for the first reads.
-        if self.relay.versions(feed).is_none() && !self.cfg.first_start {
+        if self.relay.versions(feed).is_none() && !self.awaits_first_load(feed) {
             return None;
         }
         let catch_up = async {
@@ -171,18 +171,24 @@
         if self.relay.is_preferred_reader() || self.relay.peers().len() < MIN_PEERS_TO_LOAD_FROM {
             return false;
         }
+        let is_first_load = self.awaits_first_load(feed);
         let end = Instant::now() + PEER_LOAD_TIMEOUT;
         loop {
             if self.catch_up(feed, vm_list_version, None).await {
                 return true;
             }
-            if !self.cfg.first_start || Instant::now() >= end {
+            if !is_first_load || Instant::now() >= end {
                 return false;
             }
             tokio::time::sleep(PEER_LOAD_RETRY_INTERVAL).await;
         }
     }
 
+    /// Returns whether this VM belongs to a fleet that starts for the first time and has not loaded `feed` yet.
+    fn awaits_first_load(&self, feed: Feed) -> bool {
+        self.cfg.first_start && !self.control.lock().deployment.has_read(feed)
+    }
+
     /// Applies the first read of the VM list, which names the VMs to load the other feeds from.
     pub(crate) fn apply_vm_list(&self, batch: &Batch, now: Instant) {
         self.apply_batch(Feed::Vms, batch, true, &Origin::Store, now);
--- a/crates/mh_gateway/tests/relay.rs
+++ b/crates/mh_gateway/tests/relay.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use fleet::{Fleet, LARGE_REGION_VMS, SMALL_REGION_VMS, settings, start_vm, wait_until};
-use mh_gateway::{AnnouncedVm, Feed, Update};
+use mh_gateway::{AnnouncedVm, BoundSettings, Feed, Update};
 use mh_poison::{Fingerprint, ServerRun};
 use store::MemoryStore;
 
@@ -43,6 +43,30 @@
     fleet.wait_for_revision(2).await;
 }
 
+/// Guards against a region that keeps old settings because its only reader, for which the store has no history, reads
+/// them from VMs that rely on it.
+#[tokio::test(start_paused = true)]
+async fn a_reader_without_history_reads_the_store_and_not_the_vms_that_rely_on_it() {
+    let fleet = Fleet::start_with(LARGE_REGION_VMS).await;
+    fleet.wait_for_revision(1).await;
+    let preferred = fleet.wait_for_readers(2).await;
+    let names = || fleet.vms.iter().map(|vm| vm.gateway().vm());
+    let reader = names().find(|vm| !preferred.contains(vm)).expect("a follower");
+    for vm in names().filter(|vm| *vm != reader) {
+        fleet.store.refuse(vm);
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+
+    fleet
+        .store
+        .put_unseen(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
+    fleet.store.drop_history();
+    tokio::time::sleep(BoundSettings::default().bounds().settings_in_force).await;
+
+    let revisions = fleet.revisions();
+    assert!(revisions.iter().all(|revision| *revision == Some(2)), "{revisions:?}");
+}
+
 /// Guards against a fleet in which every starting VM reads everything from the store.
 #[tokio::test]
 async fn a_starting_vm_learns_from_peers() {
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -25,6 +25,8 @@
     started: Option<tokio::time::Instant>,
     /// All updates with their versions, in order.
     updates: Vec<(Feed, u64, Update)>,
+    /// The changes up to this version are no longer available.
+    dropped_until: u64,
     refused: HashSet<VmName>,
     /// Feeds whose calls are never answered if they arrive now. Calls that are already waiting are not affected.
     silent_feeds: HashSet<Feed>,
@@ -97,6 +99,11 @@
         self.changed.send_modify(|()| {});
     }
 
+    /// Drops the history, so that a VM that has not read everything must read it in full.
+    pub fn drop_history(&self) {
+        self.with_state(|state| state.dropped_until = state.version);
+    }
+
     /// Returns the VMs that the store lists.
     pub fn listed_vms(&self) -> HashSet<VmName> {
         self.with_state(|state| {
@@ -197,7 +204,7 @@
     fn since(&self, feed: Feed, after: StoreVersion) -> Result<ChangesRead> {
         self.store.with_state(|state| {
             self.check(state)?;
-            if after.era != state.era || after.number > state.version {
+            if after.era != state.era || after.number > state.version || after.number < state.dropped_until {
                 return Ok(ChangesRead::HistoryLost { era: state.era });
             }
             Ok(ChangesRead::Changes(batch(state, &self.vm, feed, after.number)))
