Take only an answer for the settings as a proof that they are current

VMs could rely for 2.3 s and longer on readers whose own calls for the settings had no answer: any change, of a server for example, made a reader report all kinds of data, and a report made the others rely on it for another half of the bound. Class: evidence about one thing taken for evidence about another.

A report that does not follow an answer for the settings leaves their versions out (an earlier release takes that for a version that it holds, as before), and does not prolong the time for which others rely on the reader.

--- a/crates/mh_gateway/src/control/feed_states.rs
+++ b/crates/mh_gateway/src/control/feed_states.rs
@@ -171,7 +171,8 @@
     pub(crate) fn compare(&mut self, report: &ReaderReport, from: &VmName, now: Instant) -> Vec<Feed> {
         self.note_era(report.era());
         let mut behind = Vec::new();
-        for (feed, reported) in Feed::ALL.into_iter().zip(report.feeds) {
+        let stated = Feed::ALL.into_iter().zip(report.feeds);
+        for (feed, reported) in stated.filter(|(_, reported)| *reported != FeedVersions::UNSTATED) {
             let state = self.state_mut(feed);
             match &mut state.versions {
                 Some(own) if own.held >= reported.changed => {
--- a/crates/mh_gateway/src/control/reader_report.rs
+++ b/crates/mh_gateway/src/control/reader_report.rs
@@ -10,7 +10,8 @@
 pub(crate) struct ReaderReport {
     /// The store's clock.
     pub(crate) clock: Duration,
-    /// Versions that the reader holds, in the order of [`Feed::ALL`].
+    /// Versions that the reader holds, in the order of [`Feed::ALL`]. Those of the settings are unstated unless the reader
+    /// has just learned them.
     pub(crate) feeds: [FeedVersions; Feed::ALL.len()],
     /// Time since the last failed read of the server registry, if entries may still be missing because of that outage.
     pub(crate) register_down: Option<Duration>,
@@ -40,6 +41,14 @@
     pub(crate) changed: StoreVersion,
 }
 
+impl FeedVersions {
+    /// Stands for a feed of which a report says nothing. Earlier releases take it for a version that they hold.
+    pub(crate) const UNSTATED: Self = Self {
+        held: StoreVersion::ZERO,
+        changed: StoreVersion::ZERO,
+    };
+}
+
 /// Changes of one feed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Changes {
--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -209,7 +209,7 @@
     node.relay.is_fetching.store(false, Ordering::Release);
     let now = Instant::now();
     if node.control.lock().feeds.compare(&report, &from, now).is_empty() {
-        node.on_report_confirmed(&from, now);
+        node.on_report_confirmed(&from, &report, now);
     }
 }
 
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -6,7 +6,7 @@
 
 use super::catch_up::fetch_missing;
 use crate::control::feed_states::AcceptOutcome;
-use crate::control::reader_report::{Changes, ReaderReport};
+use crate::control::reader_report::{Changes, FeedVersions, ReaderReport};
 use crate::control::{Datagram, Origin, encode};
 use crate::node::GatewayNode;
 use crate::request::increment;
@@ -89,12 +89,15 @@
                 AcceptOutcome::Unchanged | AcceptOutcome::Snapshot => None,
             };
             let (changes, plan_change) = report_contents(changes, plan_before.as_deref());
-            self.publish_report(changes, plan_change, now);
+            self.publish_report(feed, changes, plan_change, now);
         }
     }
 
-    /// Sends a report to the other VMs of the region, if this VM is a reader.
-    fn publish_report(&self, changes: Option<Changes>, plan_change: Option<PlanChange>, now: Instant) {
+    /// Sends a report to the other VMs of the region after an answer for `feed`, if this VM is a reader.
+    ///
+    /// Only an answer for the settings shows that the settings are current: a call for them may be without an answer while
+    /// others are answered.
+    fn publish_report(&self, feed: Feed, changes: Option<Changes>, plan_change: Option<PlanChange>, now: Instant) {
         if !self.relay.is_reader() {
             return;
         }
@@ -102,9 +105,12 @@
             let control = self.control.lock();
             (control.feeds.reportable_versions(), control.deployment.store_clock(now))
         };
-        let (Some(feeds), Some(clock)) = (versions, clock) else {
+        let (Some(mut feeds), Some(clock)) = (versions, clock) else {
             return;
         };
+        if feed != Feed::Settings {
+            feeds[Feed::Settings as usize] = FeedVersions::UNSTATED;
+        }
         let entry_return = self.gateway.bounds().entry_return;
         let registry_down = self
             .relay
@@ -150,7 +156,7 @@
         }
         let behind = self.control.lock().feeds.compare(&report, from, now);
         if behind.is_empty() {
-            self.on_report_confirmed(from, now);
+            self.on_report_confirmed(from, &report, now);
         } else if !behind.iter().any(|feed| self.relay.versions(*feed).is_none())
             && !self.relay.is_fetching.swap(true, Ordering::AcqRel)
         {
@@ -190,8 +196,11 @@
         self.apply_batch(changes.feed, &batch, false, &Origin::Vm(from.clone()), now);
     }
 
-    pub(super) fn on_report_confirmed(&self, from: &VmName, now: Instant) {
-        self.relay.election.lock().on_report(from, now);
+    /// Records that this VM holds what `from` reported.
+    pub(super) fn on_report_confirmed(&self, from: &VmName, report: &ReaderReport, now: Instant) {
+        if report.feeds[Feed::Settings as usize] != FeedVersions::UNSTATED {
+            self.relay.election.lock().on_report(from, now);
+        }
     }
 }
 
--- a/crates/mh_gateway/tests/silent_store.rs
+++ b/crates/mh_gateway/tests/silent_store.rs
@@ -60,11 +60,11 @@
 
 /// Makes the store silent until the VM has failed to read it several times, and its next call for changes of the settings
 /// is lost. The store then answers calls for the settings only, so that no other answer shows that it is back.
-async fn silence_until_call_is_lost(store: &MemoryStore) {
+async fn silence_until_call_is_lost(store: &MemoryStore, vm: &VmName) {
     store.set_silent(true);
     tokio::time::sleep(Duration::from_secs(10)).await;
-    let calls = store.change_calls(Feed::Settings);
-    fleet::wait_until(|| store.change_calls(Feed::Settings) > calls).await;
+    let calls = store.change_calls(vm, Feed::Settings);
+    fleet::wait_until(|| store.change_calls(vm, Feed::Settings) > calls).await;
     store.set_feed_silent(Feed::Settings, false);
 }
 
@@ -109,7 +109,7 @@
         list_dead_vms(&store, 0, dead);
         let fleet = Fleet::start_on(store, 1).await;
         fleet.wait_for_revision(1).await;
-        silence_until_call_is_lost(&fleet.store).await;
+        silence_until_call_is_lost(&fleet.store, fleet.vms[0].gateway().vm()).await;
 
         fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
         tokio::time::sleep(IN_FORCE).await;
@@ -118,6 +118,32 @@
     }
 }
 
+/// Guards against VMs that rely on readers whose calls for the settings have no answer, because these report other changes.
+#[tokio::test(start_paused = true)]
+async fn reports_of_other_changes_are_no_proof_of_the_settings() {
+    let fleet = Fleet::start_with(SMALL_REGION_VMS).await;
+    fleet.wait_for_revision(1).await;
+    let store = &fleet.store;
+    for vm in fleet.wait_for_readers(2).await {
+        store.silence_vm(&vm, Feed::Settings);
+        let calls = store.change_calls(&vm, Feed::Settings);
+        fleet::wait_until(|| store.change_calls(&vm, Feed::Settings) > calls).await;
+    }
+
+    store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
+    let end = Instant::now() + IN_FORCE;
+    for n in 0.. {
+        if Instant::now() >= end {
+            break;
+        }
+        store.put(Feed::Servers, fixtures::listed(&format!("s{n}"), "v1"));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+
+    let revisions = fleet.revisions();
+    assert!(revisions.iter().all(|revision| *revision == Some(2)), "{revisions:?}");
+}
+
 /// Guards against VMs that send requests to a server that has left because they wait for the answer to a lost call.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_server_is_noticed_after_calls_without_an_answer() {
--- a/crates/mh_gateway/tests/store/mod.rs
+++ b/crates/mh_gateway/tests/store/mod.rs
@@ -28,11 +28,12 @@
     /// The changes up to this version are no longer available.
     dropped_until: u64,
     refused: HashSet<VmName>,
-    /// Feeds whose calls are never answered if they arrive now. Calls that are already waiting are not affected.
-    silent_feeds: HashSet<Feed>,
+    /// Feeds whose calls are never answered if they arrive now, of all VMs or of one. Calls that are already waiting are
+    /// not affected.
+    silent_feeds: HashSet<(Option<VmName>, Feed)>,
     calls: BTreeMap<VmName, usize>,
-    /// Calls for changes of each feed since the start.
-    change_calls: HashMap<Feed, usize>,
+    /// Calls of each VM for changes of each feed since the start.
+    change_calls: HashMap<(VmName, Feed), usize>,
     /// Addresses under which single VMs see servers, instead of those in their entries.
     seen_addrs: BTreeMap<(VmName, ServerName), SocketAddr>,
 }
@@ -152,13 +153,18 @@
     pub fn set_feed_silent(&self, feed: Feed, is_silent: bool) {
         self.with_state(|state| {
             if is_silent {
-                state.silent_feeds.insert(feed);
+                state.silent_feeds.insert((None, feed));
             } else {
-                state.silent_feeds.remove(&feed);
+                state.silent_feeds.remove(&(None, feed));
             }
         });
     }
 
+    /// Leaves calls of `vm` for `feed` that arrive from now on unanswered.
+    pub fn silence_vm(&self, vm: &VmName, feed: Feed) {
+        self.with_state(|state| state.silent_feeds.insert((Some(vm.clone()), feed)));
+    }
+
     /// Makes `vm` see the server `name` at `addr`.
     pub fn set_seen_addr(&self, vm: &VmName, name: &str, addr: SocketAddr) {
         self.with_state(|state| state.seen_addrs.insert((vm.clone(), name.into()), addr));
@@ -169,9 +175,9 @@
         self.with_state(|state| std::mem::take(&mut state.calls))
     }
 
-    /// Returns the calls for changes of `feed` that have arrived since the start.
-    pub fn change_calls(&self, feed: Feed) -> usize {
-        self.with_state(|state| state.change_calls.get(&feed).copied().unwrap_or_default())
+    /// Returns the calls of `vm` for changes of `feed` that have arrived since the start.
+    pub fn change_calls(&self, vm: &VmName, feed: Feed) -> usize {
+        self.with_state(|state| state.change_calls.get(&(vm.clone(), feed)).copied().unwrap_or_default())
     }
 
     fn count_call(&self, vm: &VmName) {
@@ -187,13 +193,18 @@
     /// Makes a call that asks the store to wait up to `wait`; `f` runs when the call arrives.
     async fn call<T>(&self, feed: Feed, wait: Duration, f: impl FnOnce(&mut State) -> T) -> Result<T> {
         self.store.count_call(&self.vm);
-        if self.store.with_state(|state| state.silent_feeds.contains(&feed)) {
+        if self.store.with_state(|state| self.is_silent(state, feed)) {
             tokio::time::sleep(wait + CALL_TIMEOUT).await;
             return Err(Report::new(PlatformError(Code::TableTimeout)));
         }
         self.store.with_state(|state| self.check(state).map(|()| f(state)))
     }
 
+    fn is_silent(&self, state: &State, feed: Feed) -> bool {
+        let silent = &state.silent_feeds;
+        silent.contains(&(None, feed)) || silent.contains(&(Some(self.vm.clone()), feed))
+    }
+
     fn check(&self, state: &State) -> Result<()> {
         if state.refused.contains(&self.vm) {
             return Err(Report::new(PlatformError(Code::TableUnreachable)));
@@ -256,7 +267,7 @@
             let mut changed = self.store.changed.subscribe();
             let end = tokio::time::Instant::now() + wait;
             self.store
-                .with_state(|state| *state.change_calls.entry(feed).or_default() += 1);
+                .with_state(|state| *state.change_calls.entry((self.vm.clone(), feed)).or_default() += 1);
             self.call(feed, wait, |_| ()).await?;
             loop {
                 let read = self.since(feed, version)?;
