Name in a report the versions that its changes lead to

On a VM with several threads a report could carry the changes of one answer with the version of a later one: the versions were read again after the changes had been applied. VMs that got it counted as holding a plan that they did not have, and other readers' reports confirmed them, until the next plan: requests were handled as an older version allows. Class: a version held and the data that it stands for were two facts.

The versions are now taken under the lock under which the batch is applied.

The test applies version 13 between the application and the report of version 12.

--- a/crates/mh_gateway/src/control/control_state.rs
+++ b/crates/mh_gateway/src/control/control_state.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use mh_budget::Owner;
 use mh_member::{Membership, VmList};
@@ -6,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::feed_states::FeedStates;
+use super::reader_report::FeedVersions;
 use super::{DeploymentState, QuotaController, StaleVms};
 use crate::node::UnlistedVm;
 use crate::{Feed, LiveState};
@@ -79,6 +81,11 @@
         live
     }
 
+    /// Returns the versions of all feeds with the store's clock, if this VM may report them to others.
+    pub(crate) fn reportable_versions(&self, now: Instant) -> Option<([FeedVersions; Feed::ALL.len()], Duration)> {
+        Some((self.feeds.reportable_versions()?, self.deployment.store_clock(now)?))
+    }
+
     /// Returns the milliseconds since the state of `feed` was confirmed as the newest; `None` before the first read.
     pub(crate) fn age_ms(&self, feed: Feed, now: Instant) -> Option<u64> {
         let at = self.feeds.confirmed_at(feed)?;
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use mh_types::{Event, Revision, StoreVersion, VmName, emit};
 use tokio::time::Instant;
@@ -56,15 +57,17 @@
     /// Applies a batch that was read from the store or received from another VM, and reports it to the region.
     pub(crate) fn apply_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, origin: &Origin, now: Instant) {
         self.relay.note_era(batch.version.era);
-        // Versions and contents change together, so that no VM is served old contents with newer versions.
-        let (accepted, plan_before, plan) = {
+        // Versions and contents change together, so that no VM is served old contents with newer versions. The report names
+        // the versions after this batch, and not those after another one that is applied before it is sent.
+        let (accepted, plan_before, plan, versions) = {
             let mut control = self.control.lock();
             let accepted = control.feeds.accept(feed, batch, is_whole, origin, now);
             let plan_before = control.deployment.plan().cloned();
             if !matches!(accepted, AcceptOutcome::Unchanged) {
                 control.deployment.apply(feed, batch, is_whole, now);
             }
-            (accepted, plan_before, control.deployment.plan().cloned())
+            let versions = control.reportable_versions(now);
+            (accepted, plan_before, control.deployment.plan().cloned(), versions)
         };
         let revision = |plan: &Option<Arc<Plan>>| plan.as_ref().map_or_else(Revision::default, |plan| plan.revision);
         if revision(&plan) != revision(&plan_before) {
@@ -88,8 +91,10 @@
                 AcceptOutcome::Changes(changes) => Some(changes),
                 AcceptOutcome::Unchanged | AcceptOutcome::Snapshot => None,
             };
-            let (changes, plan_change) = report_contents(changes, plan_before.as_deref());
-            self.publish_report(feed, changes, plan_change, now);
+            let contents = report_contents(changes, plan_before.as_deref());
+            if let Some((versions, clock)) = versions {
+                self.publish_report(feed, versions, clock, contents, now);
+            }
         }
     }
 
@@ -97,17 +102,17 @@
     ///
     /// Only an answer for the settings shows that the settings are current: a call for them may be without an answer while
     /// others are answered.
-    fn publish_report(&self, feed: Feed, changes: Option<Changes>, plan_change: Option<PlanChange>, now: Instant) {
+    fn publish_report(
+        &self,
+        feed: Feed,
+        mut feeds: [FeedVersions; Feed::ALL.len()],
+        clock: Duration,
+        (changes, plan_change): (Option<Changes>, Option<PlanChange>),
+        now: Instant,
+    ) {
         if !self.relay.is_reader() {
             return;
         }
-        let (versions, clock) = {
-            let control = self.control.lock();
-            (control.feeds.reportable_versions(), control.deployment.store_clock(now))
-        };
-        let (Some(mut feeds), Some(clock)) = (versions, clock) else {
-            return;
-        };
         if feed != Feed::Settings {
             feeds[Feed::Settings as usize] = FeedVersions::UNSTATED;
         }
--- a/crates/mh_gateway/src/plan/plan_change.rs
+++ b/crates/mh_gateway/src/plan/plan_change.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Returns the revision of the plan after the change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Returns the plan after the change; `None` if the change does not belong to `plan`.
     pub fn apply(&self, plan: &Plan) -> Option<Plan> {
         if plan.revision != self.before {
--- a/crates/mh_gateway/tests/unit/member_loop.rs
+++ b/crates/mh_gateway/tests/unit/member_loop.rs
@@ -445,3 +445,6 @@
 
 #[path = "locks.rs"]
 mod locks;
+
+#[path = "report_versions.rs"]
+mod report_versions;
