Accept changes only if they follow from what is held

A VM that had read its settings anew, at a version before the one that it had held, accepted changes after the later version that were still on their way, and counted as holding all up to their version. What had changed between the two versions was never read, and other VMs confirmed the version. Class: a version held and the data that it stands for were two facts; an answer did not carry what it followed from.

A batch now comes with the version that its changes follow, from a call to the store, a fetch from another VM or a report, and is refused if that is later than the one held.

The test fails without the check (the version moves from 10 to 20 without the changes up to 15) and passes with it. Tests of mh_gateway pass.

--- a/crates/mh_gateway/src/control/feed_loop.rs
+++ b/crates/mh_gateway/src/control/feed_loop.rs
@@ -102,7 +102,7 @@
                 if held.is_none() && feed == Feed::Vms {
                     node.apply_vm_list(&batch, now);
                 } else {
-                    node.apply_batch(feed, &batch, held.is_none(), &Origin::Store, now);
+                    node.apply_batch(feed, &batch, held.map(|versions| versions.held), &Origin::Store, now);
                 }
                 if held.is_none() || !batch.updates.is_empty() {
                     tokio::time::sleep(batching_delay(feed)).await;
--- a/crates/mh_gateway/src/control/feed_states.rs
+++ b/crates/mh_gateway/src/control/feed_states.rs
@@ -100,12 +100,13 @@
         is_outdated
     }
 
-    /// Accepts a batch from the store or from another VM.
+    /// Accepts a batch from the store or from another VM: the changes after the version `after`, or the full state if there
+    /// is none.
     pub(crate) fn accept(
         &mut self,
         feed: Feed,
         batch: &Batch,
-        is_whole: bool,
+        after: Option<StoreVersion>,
         origin: &Origin,
         now: Instant,
     ) -> AcceptOutcome {
@@ -119,7 +120,7 @@
         if state.versions.is_some_and(|held| batch.version < held.held) {
             return AcceptOutcome::Unchanged;
         }
-        if is_whole {
+        let Some(after) = after else {
             state.confirmation = Some((now, origin.clone()));
             state.log.reset(batch.version);
             state.versions = Some(FeedVersions {
@@ -128,12 +129,13 @@
                 changed: batch.version,
             });
             return AcceptOutcome::Snapshot;
-        }
+        };
         let Some(versions) = &mut state.versions else {
             return AcceptOutcome::Unchanged;
         };
-        // Changes of another era do not follow from the state held.
-        if batch.version.era != versions.held.era {
+        // Changes of another era, or after a later version, do not follow from the state held, which may have been read anew
+        // since they were asked for.
+        if batch.version.era != versions.held.era || after > versions.held {
             return AcceptOutcome::Unchanged;
         }
         state.confirmation = Some((now, origin.clone()));
--- a/crates/mh_gateway/src/control/relay/catch_up.rs
+++ b/crates/mh_gateway/src/control/relay/catch_up.rs
@@ -125,7 +125,8 @@
             clock: fetched.clock,
             updates: fetched.updates,
         };
-        self.apply_batch(feed, &batch, fetched.is_whole, &Origin::Vm(from), Instant::now());
+        let after = (!fetched.is_whole).then_some(held);
+        self.apply_batch(feed, &batch, after, &Origin::Vm(from), Instant::now());
         Ok(())
     }
 
@@ -149,14 +150,14 @@
     /// Reads the changes of `feed` from the store without waiting, in parallel with the calls that wait for changes.
     async fn read_once(&self, feed: Feed) -> mh_platform::Result<()> {
         let held = self.relay.versions(feed).unwrap_or_default().held;
-        let (batch, is_whole) = match read_changes(self, feed, held, Duration::ZERO, true).await.result? {
-            ChangesRead::Changes(batch) => (batch, false),
+        let (batch, after) = match read_changes(self, feed, held, Duration::ZERO, true).await.result? {
+            ChangesRead::Changes(batch) => (batch, Some(held)),
             ChangesRead::HistoryLost { era } => {
                 self.relay.note_era(era);
-                (self.source.read(feed).await?, true)
+                (self.source.read(feed).await?, None)
             }
         };
-        self.apply_batch(feed, &batch, is_whole, &Origin::Store, Instant::now());
+        self.apply_batch(feed, &batch, after, &Origin::Store, Instant::now());
         Ok(())
     }
 
@@ -191,7 +192,7 @@
 
     /// Applies the first read of the VM list, which names the VMs to load the other feeds from.
     pub(crate) fn apply_vm_list(&self, batch: &Batch, now: Instant) {
-        self.apply_batch(Feed::Vms, batch, true, &Origin::Store, now);
+        self.apply_batch(Feed::Vms, batch, None, &Origin::Store, now);
         let region = self.control.lock().deployment.vms_of_region(&self.cfg.region);
         self.relay.set_vms(region, now);
         self.relay.vm_list_version.send_replace(Some(batch.version));
--- a/crates/mh_gateway/src/control/relay/publish.rs
+++ b/crates/mh_gateway/src/control/relay/publish.rs
@@ -54,17 +54,25 @@
         self.relay.election.lock().on_reader_failed(from, now);
     }
 
-    /// Applies a batch that was read from the store or received from another VM, and reports it to the region.
-    pub(crate) fn apply_batch(&self, feed: Feed, batch: &Batch, is_whole: bool, origin: &Origin, now: Instant) {
+    /// Applies a batch that was read from the store or received from another VM, and reports it to the region. It holds the
+    /// changes after the version `after`, or the full state if there is none.
+    pub(crate) fn apply_batch(
+        &self,
+        feed: Feed,
+        batch: &Batch,
+        after: Option<StoreVersion>,
+        origin: &Origin,
+        now: Instant,
+    ) {
         self.relay.note_era(batch.version.era);
         // Versions and contents change together, so that no VM is served old contents with newer versions. The report names
         // the versions after this batch, and not those after another one that is applied before it is sent.
         let (accepted, plan_before, plan, versions) = {
             let mut control = self.control.lock();
-            let accepted = control.feeds.accept(feed, batch, is_whole, origin, now);
+            let accepted = control.feeds.accept(feed, batch, after, origin, now);
             let plan_before = control.deployment.plan().cloned();
             if !matches!(accepted, AcceptOutcome::Unchanged) {
-                control.deployment.apply(feed, batch, is_whole, now);
+                control.deployment.apply(feed, batch, after.is_none(), now);
             }
             let versions = control.reportable_versions(now);
             (accepted, plan_before, control.deployment.plan().cloned(), versions)
@@ -198,7 +206,13 @@
             clock: report.clock,
             updates: changes.updates,
         };
-        self.apply_batch(changes.feed, &batch, false, &Origin::Vm(from.clone()), now);
+        self.apply_batch(
+            changes.feed,
+            &batch,
+            Some(changes.after),
+            &Origin::Vm(from.clone()),
+            now,
+        );
     }
 
     /// Records that this VM holds what `from` reported.
--- a/crates/mh_gateway/tests/unit/feed_states.rs
+++ b/crates/mh_gateway/tests/unit/feed_states.rs
@@ -28,7 +28,7 @@
 fn states() -> FeedStates {
     let mut states = FeedStates::default();
     for feed in Feed::ALL {
-        states.accept(feed, &batch(10, 10, &[]), true, &Origin::Store, Instant::now());
+        states.accept(feed, &batch(10, 10, &[]), None, &Origin::Store, Instant::now());
     }
     states
 }
@@ -53,7 +53,7 @@
     states.accept(
         Feed::Settings,
         &batch(12, 12, &["a"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
@@ -61,14 +61,14 @@
     let outcome = states.accept(
         Feed::Settings,
         &batch(11, 11, &["b"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
     let snapshot_outcome = states.accept(
         Feed::Settings,
         &batch(11, 11, &["b"]),
-        true,
+        None,
         &Origin::Store,
         Instant::now(),
     );
@@ -81,6 +81,24 @@
     assert_eq!(states.versions(Feed::Settings).unwrap().changed, at(12));
 }
 
+/// Guards against a version that moves on without the changes before it: the state was read anew, at an earlier version,
+/// while changes after a later one were on their way.
+#[test]
+fn changes_after_a_later_version_than_the_held_one_are_not_accepted() {
+    let mut states = states();
+
+    let outcome = states.accept(
+        Feed::Settings,
+        &batch(20, 18, &["b"]),
+        Some(at(15)),
+        &Origin::Store,
+        Instant::now(),
+    );
+
+    assert!(matches!(outcome, AcceptOutcome::Unchanged), "{outcome:?}");
+    assert_eq!(states.versions(Feed::Settings).unwrap().held, at(10));
+}
+
 /// Guards against rebuilding the request state twice for a change that both readers report.
 #[test]
 fn a_known_change_is_not_accepted_again() {
@@ -88,7 +106,7 @@
     states.accept(
         Feed::Settings,
         &batch(12, 12, &["a"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
@@ -96,7 +114,7 @@
     let outcome = states.accept(
         Feed::Settings,
         &batch(15, 12, &["a"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
@@ -147,14 +165,14 @@
     states.accept(
         Feed::Settings,
         &batch(12, 12, &["a"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
     states.accept(
         Feed::Settings,
         &batch(14, 14, &["b"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
@@ -179,7 +197,7 @@
         );
         let mut read = batch(version, version, &["a"]);
         read.updates.push(Update::Plan(plan.into()));
-        states.accept(Feed::Settings, &read, false, &Origin::Store, Instant::now());
+        states.accept(Feed::Settings, &read, Some(at(10)), &Origin::Store, Instant::now());
     }
 
     let updates = states.since(Feed::Settings, at(10)).unwrap();
@@ -207,7 +225,7 @@
     let outcome = states.accept(
         Feed::Settings,
         &restored_batch(4, &["a"]),
-        true,
+        None,
         &Origin::Store,
         Instant::now(),
     );
@@ -225,7 +243,7 @@
     let outcome = states.accept(
         Feed::Settings,
         &restored_batch(12, &["a"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
@@ -233,14 +251,14 @@
     let late = states.accept(
         Feed::Servers,
         &batch(30, 30, &["b"]),
-        false,
+        Some(at(10)),
         &Origin::Store,
         Instant::now(),
     );
     let late_snapshot = states.accept(
         Feed::Servers,
         &batch(30, 30, &["b"]),
-        true,
+        None,
         &Origin::Store,
         Instant::now(),
     );
--- a/crates/mh_gateway/tests/unit/locks.rs
+++ b/crates/mh_gateway/tests/unit/locks.rs
@@ -38,7 +38,7 @@
     node.apply_batch(
         Feed::Settings,
         &batch(11, plan_changes().updates),
-        false,
+        Some(StoreVersion::new(0, 10)),
         &Origin::Store,
         now,
     );
@@ -48,7 +48,7 @@
     node.apply_batch(
         Feed::Vms,
         &batch(12, vec![Update::Vm("vm-2".into(), Some(listed("vm-2")))]),
-        false,
+        Some(StoreVersion::new(0, 10)),
         &Origin::Store,
         now,
     );
@@ -77,7 +77,7 @@
     node.apply_batch(
         Feed::Settings,
         &batch(11, vec![Update::Order("stock".into(), Some(order))]),
-        false,
+        Some(StoreVersion::new(0, 10)),
         &Origin::Store,
         now,
     );
--- a/crates/mh_gateway/tests/unit/report_versions.rs
+++ b/crates/mh_gateway/tests/unit/report_versions.rs
@@ -22,10 +22,11 @@
     }
 
     fn log(&self, record: &log::Record<'_>) {
-        if self.enabled(record.metadata()) && record.args().to_string().starts_with("E405") {
-            if let Some(action) = AFTER_PLAN.with_borrow_mut(Option::take) {
-                action();
-            }
+        if self.enabled(record.metadata())
+            && record.args().to_string().starts_with("E405")
+            && let Some(action) = AFTER_PLAN.with_borrow_mut(Option::take)
+        {
+            action();
         }
     }
 
@@ -53,15 +54,27 @@
     };
     let now = Instant::now();
     let vms = batch(11, vec![Update::Vm("vm-1".into(), Some(entry))]);
-    node.apply_batch(Feed::Vms, &vms, false, &Origin::Store, now);
+    node.apply_batch(Feed::Vms, &vms, Some(StoreVersion::new(0, 10)), &Origin::Store, now);
     let other = Arc::clone(&node);
     let later = batch(13, vec![Update::Plan(plan(3, 50.0, 3.0).into())]);
     AFTER_PLAN.set(Some(Box::new(move || {
-        other.apply_batch(Feed::Settings, &later, false, &Origin::Store, now);
+        other.apply_batch(
+            Feed::Settings,
+            &later,
+            Some(StoreVersion::new(0, 10)),
+            &Origin::Store,
+            now,
+        );
     })));
 
     let first = batch(12, vec![Update::Plan(plan(2, 50.0, 2.0).into())]);
-    node.apply_batch(Feed::Settings, &first, false, &Origin::Store, now);
+    node.apply_batch(
+        Feed::Settings,
+        &first,
+        Some(StoreVersion::new(0, 10)),
+        &Origin::Store,
+        now,
+    );
 
     let mut reported = Vec::new();
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
