--- a/crates/mh_relay/tests/election.rs
+++ b/crates/mh_relay/tests/election.rs
@@ -94,7 +94,9 @@
         let mut election = Election::new(vm.clone(), timings, now);
         election.set_vms(names.iter().map(|vm| (vm.clone(), "a".into())), now);
         let mut tick = |at: Duration, heard: &[&VmName]| {
-            heard.iter().for_each(|from| election.on_reader_failed(from, now + at));
+            for from in heard {
+                election.on_reader_failed(from, now + at);
+            }
             election.on_tick(now + at);
             election.is_leading_caller()
         };
