Let all VMs of a small region notice that the store is back

In a region of three, the third VM left it to the first two to notice that a store answers again, as long as it heard them call in vain. If the store then left out just these two, the third had the settings up to 5.6 s late, as before: there was no other VM that might have noticed.

In a region of up to four VMs all of them now call often while the store is away. In a larger one the others' own calls, one in 1.2 to 5.6 s each, find out.

--- a/crates/mh_gateway/tests/silent_store.rs
+++ b/crates/mh_gateway/tests/silent_store.rs
@@ -58,10 +58,12 @@
     }
 }
 
-/// Makes the store silent until the VM has failed to read it several times, and its next call for changes of the settings
-/// is lost. The store then answers calls for the settings only, so that no other answer shows that it is back.
-async fn silence_until_call_is_lost(store: &MemoryStore, vm: &VmName) {
-    store.set_silent(true);
+/// Leaves calls for `feeds` unanswered until the VM has failed several times, and its next call for changes of the settings
+/// is lost. The store then answers calls for the settings again, and no other answer shows that it is back.
+async fn silence_until_call_is_lost(store: &MemoryStore, vm: &VmName, feeds: &[Feed]) {
+    for feed in feeds {
+        store.set_feed_silent(*feed, true);
+    }
     tokio::time::sleep(Duration::from_secs(10)).await;
     let calls = store.change_calls(vm, Feed::Settings);
     fleet::wait_until(|| store.change_calls(vm, Feed::Settings) > calls).await;
@@ -109,7 +111,7 @@
         list_dead_vms(&store, 0, dead);
         let fleet = Fleet::start_on(store, 1).await;
         fleet.wait_for_revision(1).await;
-        silence_until_call_is_lost(&fleet.store, fleet.vms[0].gateway().vm()).await;
+        silence_until_call_is_lost(&fleet.store, fleet.vms[0].gateway().vm(), &Feed::ALL).await;
 
         fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
         tokio::time::sleep(IN_FORCE).await;
@@ -118,6 +120,33 @@
     }
 }
 
+/// Guards against a VM that keeps old settings because the store, when it is back, leaves out just the VMs that call often.
+#[tokio::test(start_paused = true)]
+async fn settings_are_in_force_in_time_although_the_store_leaves_out_the_preferred_readers() {
+    for count in [3, 4] {
+        let fleet = Fleet::start_with(count).await;
+        fleet.wait_for_revision(1).await;
+        let preferred = fleet.wait_for_readers(2).await;
+        let names = fleet.vms.iter().map(|vm| vm.gateway().vm());
+        let others: Vec<&VmName> = names.filter(|vm| !preferred.contains(vm)).collect();
+        for vm in &preferred {
+            for feed in Feed::ALL {
+                fleet.store.silence_vm(vm, feed);
+            }
+        }
+        silence_until_call_is_lost(&fleet.store, others[0], &[Feed::Settings]).await;
+
+        fleet.store.put(Feed::Settings, Update::Plan(fixtures::plan(2).into()));
+        tokio::time::sleep(IN_FORCE).await;
+
+        let revisions = fleet.revisions();
+        assert!(
+            revisions.iter().all(|revision| *revision == Some(2)),
+            "{count} VMs: {revisions:?}"
+        );
+    }
+}
+
 /// Guards against VMs that rely on readers whose calls for the settings have no answer, because these report other changes.
 #[tokio::test(start_paused = true)]
 async fn reports_of_other_changes_are_no_proof_of_the_settings() {
--- a/crates/mh_relay/src/election.rs
+++ b/crates/mh_relay/src/election.rs
@@ -11,6 +11,10 @@
 /// Number of VMs per region that read the store. With two, the loss of one causes no interruption.
 const READERS_PER_REGION: usize = 2;
 
+/// Largest number of VMs of a region that all call often a store that does not answer. Their calls are few, and hardly any
+/// other VM would notice that the store is back if it leaves out the first two.
+const MAX_LEADING_CALLERS: usize = 4;
+
 /// Number of VMs that fetch from one VM. With four, a large change occupies a small VM's link for 0.25 s and reaches a
 /// region of 100 VMs in four steps.
 const FAN_OUT: usize = 4;
@@ -213,7 +217,8 @@
             let times = [&self.last_report, &self.last_failure_notice];
             times.iter().any(|times| times.get(*vm).is_some_and(is_heard))
         };
-        if self.order.iter().take(self.rank).filter(calls).count() >= READERS_PER_REGION {
+        let is_large_region = self.order.len() > MAX_LEADING_CALLERS;
+        if is_large_region && self.order.iter().take(self.rank).filter(calls).count() >= READERS_PER_REGION {
             self.leading_since = None;
             self.is_leading_caller = false;
             return;
